--- /dev/null
+++ b/gateway.go
@@ -0,0 +1,991 @@
+// Package cresspass decides, for one gateway that sees only its own traffic, when and on which engine
+// each query runs. The design is Q-Cop (Tozer 2009) with a bound on running threads; docs/design.md
+// tells what was kept and what was stretched. The types, events and actions stand in types.go.
+package cresspass
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Tuned values. Shares and ratios have no unit; gains are the part of an error taken up per outcome.
+const (
+	tickEvery   = 50 * time.Millisecond // pace of the periodic look at what is running
+	expiryTicks = 2                     // final answers leave this many batch ticks before the deadline
+
+	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
+	kindGain     = 0.10 // gain of a kind's average weights
+	engineGain   = 0.05 // gain of an engine's own deviation from its kind
+	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
+	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
+	slowHalfLife = 8 * time.Second
+	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
+	meanGain     = 0.05
+
+	pressureRatio = 2.0 // latency over best from which the thread bound binds
+	calmRatio     = 1.5 // latency over best under which it widens
+	latencyGain   = 0.15
+	boundStep     = 1.0 // threads added for each bound's worth of outcomes near best
+	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
+	fullPressure  = time.Second
+
+	failGain    = 0.2 // gain of an engine's share of failed attempts
+	failSick    = 0.4 // share of failures from which an engine is sick
+	failStreak  = 3   // failures in a row from which an engine is sick
+	failWeight  = 4.0 // an estimate grows by this times the failure share...
+	failFinal   = 16.0
+	silentRatio = 3.0 // an attempt this far over its estimate, with nothing heard since, is a sign of silence
+	silentLeast = 700 * time.Millisecond
+	silentCount = 2 // attempts that must show silence
+	shunFirst   = time.Second
+	shunMost    = 5 * time.Second
+	trialsGood  = 2 // answered trials after which an engine is well again
+
+	coldSlack  = 0.5  // part of the cold budget used, for chance and mistaken work
+	cpuShare   = 0.85 // a capacity is the rate at which cores are this busy
+	killRatio  = 2.5  // a projected run this many times over its base is a bad plan
+	killGain   = 1.3  // what is left must exceed a fresh run's estimate by this ratio
+	killsMost  = 2    // a query that is long every time is just long
+	grantStart = 1.25 // memory granted over the estimate, adapted by class
+	grantUp    = 0.06
+	grantDown  = 0.01
+	quotaBurst = 2.0 // seconds of a tenant's share that may come at once
+	comeBackIn = 1.0 // share of the longest come-back time asked for
+	askRetry   = 500 * time.Millisecond
+	topRank    = 3
+)
+
+type class struct {
+	Class
+	index   int
+	threads float64
+	loads   bool
+	scale   float64 // unloaded time over the told estimate (or over the aim where none is told)
+	seen    float64
+	work    float64 // mean work of a query, in thread seconds
+	grant   float64 // memory granted over the told estimate
+	rank    int     // priority
+}
+
+type kind struct {
+	cores, memory float64
+	weights       [][]float64 // per class: time a running query of each class adds, over base, per core
+}
+
+type engine struct {
+	EngineInfo
+	kind    *kind
+	known   bool // on the present list and neither draining nor gone
+	own     [][]float64
+	count   []float64 // running queries of this gateway per class
+	area    []float64 // their integral over time, in query seconds
+	areaAt  time.Duration
+	running []*attempt
+	threads float64
+	slow    float64 // log of the fast-moving slowness
+	slowAt  time.Duration
+	latency float64 // recent latency over best
+	bound   float64 // threads this gateway may run here under pressure
+	cutAt   time.Duration
+	full    time.Duration // under pressure until then: it turned work away
+
+	failing   float64
+	streak    int
+	heard     time.Duration // last sign of life
+	sick      bool
+	probing   bool
+	trial     bool // open to one trial query at a time
+	trialsOK  int
+	shunUntil time.Duration
+	shunFor   time.Duration
+	coldSent  []spent
+}
+
+type spent struct {
+	at   time.Duration
+	work float64
+}
+
+type attempt struct {
+	q         *query
+	e         *engine
+	trial     int
+	at        time.Duration
+	base, est float64 // seconds
+	grant     float64
+	area      []float64
+	late      float64
+	cancelled bool
+	spilled   bool
+}
+
+type query struct {
+	id       QueryID
+	c        *class
+	tables   float64
+	key      *orderKey
+	over     bool // beyond its tenant's share
+	deadline time.Duration
+	taken    time.Duration
+	unit     float64 // told estimate over threads, or the aim, in seconds
+	memory   float64
+	tries    int
+	kills    int
+	out      []*attempt
+	avoid    *engine
+	doubt    *attempt // earliest attempt that may have run
+	held     bool
+	done     bool
+}
+
+type orderKey struct {
+	line    []*query
+	running int
+	rest    time.Duration
+}
+
+type attemptKey struct {
+	id    QueryID
+	trial int
+}
+
+type bucket struct {
+	level, rate float64
+	at          time.Duration
+}
+
+// Gateway decides for one gateway. It is not safe for concurrent use.
+type Gateway struct {
+	cfg      Config
+	now      time.Duration
+	out      []Action
+	classes  map[string]*class
+	order    []*class
+	kinds    map[string]*kind
+	engines  map[EngineID]*engine
+	list     []*engine // all engines known, by ID
+	queries  map[QueryID]*query
+	attempts map[attemptKey]*attempt
+	held     []*query // earliest deadline first
+	keys     map[string]*orderKey
+	tenants  map[string]*bucket
+	taken    []time.Duration
+	further  []time.Duration
+	gateways float64
+	median   float64 // log of the fleet's median slowness
+	scratch  []float64
+	started  bool
+	askAt    time.Duration
+	sickAll  bool // so many engines look sick that it is not the engines
+}
+
+// New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
+func New(cfg Config) (*Gateway, error) {
+	if err := cfg.Validate(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
+		engines: map[EngineID]*engine{}, queries: map[QueryID]*query{}, attempts: map[attemptKey]*attempt{},
+		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, gateways: math.Max(1, float64(cfg.Gateways))}
+	for i, c := range cfg.Classes {
+		k := &class{Class: c, index: i, threads: 1, scale: 1, grant: grantStart, rank: 1}
+		if len(cfg.ClassThreads) > 0 {
+			k.threads = cfg.ClassThreads[i]
+		}
+		k.loads = len(cfg.ClassLoads) > 0 && cfg.ClassLoads[i]
+		k.work = c.Aim.Seconds() * k.threads
+		g.classes[c.Name] = k
+		g.order = append(g.order, k)
+	}
+	for i, name := range cfg.KindNames {
+		k := g.newKind()
+		if len(cfg.KindCores) > 0 {
+			k.cores = cfg.KindCores[i]
+		}
+		if len(cfg.KindMemoryMB) > 0 {
+			k.memory = cfg.KindMemoryMB[i]
+		}
+		g.kinds[name] = k
+	}
+	for _, t := range cfg.Tenants {
+		if rate := t.Quota / g.gateways; rate > 0 {
+			g.tenants[t.Name] = &bucket{level: rate * quotaBurst, rate: rate}
+		}
+	}
+	return g, nil
+}
+
+func (g *Gateway) newKind() *kind { return &kind{cores: 1, weights: g.newWeights()} }
+
+func (g *Gateway) newWeights() [][]float64 {
+	w := make([][]float64, len(g.cfg.Classes))
+	for i := range w {
+		w[i] = make([]float64, len(g.cfg.Classes))
+	}
+	return w
+}
+
+// Handle takes the clock and what has happened since the last call, in order, and appends to actions
+// what is to be done. The gateway keeps neither slice.
+func (g *Gateway) Handle(now time.Duration, events []Event, actions []Action) []Action {
+	g.now, g.out = max(now, g.now), actions
+	if !g.started {
+		g.started = true
+		g.timer(tickEvery, 0)
+		if g.cfg.AskList {
+			g.ask()
+		}
+	}
+	for i := range events {
+		g.take(&events[i])
+	}
+	g.release()
+	out := g.out
+	g.out = nil
+	return out
+}
+
+func (g *Gateway) take(ev *Event) {
+	switch ev.Type {
+	case EngineList:
+		g.listed(ev)
+	case QueryTaken:
+		g.queryTaken(ev)
+	case TimerDue:
+		if ev.Label == 0 {
+			g.tick()
+		} else if q := g.queries[QueryID(ev.Label-1)]; q != nil && g.now >= q.deadline-g.expiry() {
+			g.finish(q)
+		}
+	case ProbeDone:
+		g.probed(ev)
+	case AttemptDone:
+		g.attemptDone(ev)
+	case Progress:
+		g.progress(ev)
+	case ClientGone:
+		if q := g.queries[ev.Query]; q != nil {
+			g.forget(q)
+		}
+	}
+}
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (g *Gateway) timer(in time.Duration, label uint64) {
+	g.do(Action{Type: SetTimer, Wait: max(in, time.Microsecond), Label: label})
+}
+
+func (g *Gateway) expiry() time.Duration { return expiryTicks * max(g.cfg.Tick, time.Millisecond) }
+
+func (g *Gateway) tick() {
+	g.timer(tickEvery, 0)
+	g.watch()
+	if g.cfg.AskList && g.now >= g.askAt {
+		g.ask()
+	}
+}
+
+// Engine view and health.
+
+// ask subscribes to the engine list. Renewing well inside the rule's time keeps the list from being
+// deemed told to us while we have not seen it.
+func (g *Gateway) ask() {
+	g.do(Action{Type: Subscribe, On: true})
+	g.askAt = g.now + max(g.cfg.Rules.AskWithin/2, askRetry)
+}
+
+func (g *Gateway) listed(ev *Event) {
+	if ev.Listing == ListFailed {
+		g.askAt = g.now + askRetry
+		return
+	}
+	if ev.Listing != ListChanges {
+		for _, e := range g.list {
+			e.known = false
+		}
+	}
+	for i := range ev.Engines {
+		info := &ev.Engines[i]
+		e := g.engines[info.ID]
+		if e == nil {
+			e = &engine{}
+			g.engines[info.ID] = e
+			at := sort.Search(len(g.list), func(i int) bool { return g.list[i].ID >= info.ID })
+			g.list = append(g.list, nil)
+			copy(g.list[at+1:], g.list[at:])
+			g.list[at] = e
+			g.reset(e, info)
+			e.count, e.area = make([]float64, len(g.order)), make([]float64, len(g.order))
+		} else if info.Started > e.Started {
+			g.reset(e, info) // its process is new: nothing learnt of the old one holds
+		}
+		e.EngineInfo = *info
+		e.known = info.State == EngineOn
+	}
+}
+
+// reset makes an engine as good as new: its own weights zero, so that its kind's average stands.
+func (g *Gateway) reset(e *engine, info *EngineInfo) {
+	k := g.kinds[info.Kind]
+	if k == nil {
+		k = g.newKind()
+		g.kinds[info.Kind] = k
+	}
+	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(), 1, 0, 0, 0
+	e.bound = g.boundStart(e)
+	e.sick, e.probing, e.trial, e.shunFor = false, false, false, 0
+	e.heard, e.slowAt = g.now, g.now
+}
+
+// warmth is the share of its capacity a started engine has at least.
+func (g *Gateway) warmth(e *engine) float64 {
+	age, r := g.now-e.Started, &g.cfg.Rules
+	if e.Started <= 0 || r.ColdFor <= 0 || age >= r.ColdFor || r.ColdFrom <= 0 {
+		return 1
+	}
+	return r.ColdFrom + (1-r.ColdFrom)*math.Max(0, age.Seconds())/r.ColdFor.Seconds()
+}
+
+// health takes in whether an attempt was answered. Failures are evidence about the engine, never about
+// interference, so they stay out of the fit.
+func (g *Gateway) health(e *engine, ok bool) {
+	if ok {
+		e.failing -= failGain * e.failing
+		e.streak = 0
+		if e.sick && e.trial {
+			if e.trialsOK++; e.trialsOK >= trialsGood {
+				e.sick, e.trial, e.shunFor, e.failing = false, false, 0, 0
+			}
+		}
+		return
+	}
+	e.failing += failGain * (1 - e.failing)
+	e.streak++
+	if e.sick && e.trial || !e.sick && (e.streak >= failStreak || e.failing >= failSick) {
+		g.shun(e)
+	}
+}
+
+// shun keeps queries from an engine for a while, longer each time it fails its trials.
+func (g *Gateway) shun(e *engine) {
+	e.sick, e.trial, e.probing, e.trialsOK = true, false, false, 0
+	e.shunFor = min(max(shunFirst, e.shunFor*2), shunMost)
+	e.shunUntil = g.now + e.shunFor
+}
+
+func (g *Gateway) probed(ev *Event) {
+	e := g.engines[ev.Engine]
+	if e == nil || !e.probing {
+		return
+	}
+	e.probing = false
+	if ev.Outcome == OK {
+		e.trial = true
+	} else {
+		g.shun(e)
+	}
+}
+
+// watch looks at what is running: silent engines, overdue queries, the fleet's median slowness.
+func (g *Gateway) watch() {
+	g.scratch = g.scratch[:0]
+	sick, all := 0, 0
+	for _, e := range g.list {
+		g.decay(e)
+		silent := 0
+		for _, a := range e.running {
+			age := (g.now - a.at).Seconds()
+			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
+			if age > a.late*a.est && !a.cancelled {
+				e.slow += slowGain * math.Max(0, math.Log(a.late)+math.Log(a.est/(a.base))-e.slow)
+				a.late *= lateRatio
+			}
+			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
+				silent++
+			}
+		}
+		if !e.known {
+			continue
+		}
+		all++
+		if silent >= silentCount && !e.sick {
+			g.shun(e)
+			g.rescue(e)
+		}
+		if e.sick {
+			sick++
+			if g.now >= e.shunUntil && !e.trial && !e.probing {
+				if e.probing = g.cfg.MayProbe; e.probing {
+					g.do(Action{Type: Probe, Engine: e.ID})
+				} else {
+					e.trial = true
+				}
+			}
+		} else {
+			g.scratch = append(g.scratch, e.slow)
+		}
+	}
+	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
+	g.sickAll = sick*2 > all
+	if sort.Float64s(g.scratch); len(g.scratch) > 0 {
+		g.median = g.scratch[len(g.scratch)/2]
+	}
+}
+
+// rescue calls off what runs on a silent engine and may lawfully run elsewhere.
+func (g *Gateway) rescue(e *engine) {
+	for _, a := range e.running {
+		if !a.q.done && a.q.c.Effect != Unsafe && g.mayTryAgain(a.q) {
+			g.cancel(a)
+		}
+	}
+}
+
+func (g *Gateway) decay(e *engine) {
+	e.slow *= math.Exp2(-(g.now - e.slowAt).Seconds() / slowHalfLife.Seconds())
+	e.slowAt = g.now
+}
+
+// Mix model.
+
+func (g *Gateway) base(q *query) float64 { return q.unit * q.c.scale }
+
+// mix is what the running queries of this gateway add to a query's time, over its base.
+func (e *engine) mix(i int, n []float64) float64 {
+	sum := 0.0
+	for j, v := range n {
+		sum += math.Max(0, e.kind.weights[i][j]+e.own[i][j]) * v / e.kind.cores
+	}
+	return sum
+}
+
+// estimate is Est(i) in seconds for a newcomer, itself counted in.
+func (g *Gateway) estimate(q *query, e *engine) float64 {
+	i := q.c.index
+	e.count[i]++
+	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(e.slow) / g.warmth(e)
+	e.count[i]--
+	if q.c.loads {
+		// Danger: a load stands still while another holds its tables there.
+		for _, a := range e.running {
+			if a.q.c.loads && a.q.tables == q.tables {
+				est += math.Max(0, a.est-(g.now-a.at).Seconds())
+			}
+		}
+	}
+	return est
+}
+
+// accrue brings the integral of the mix up to now.
+func (g *Gateway) accrue(e *engine) {
+	dt := (g.now - e.areaAt).Seconds()
+	for j, n := range e.count {
+		e.area[j] += n * dt
+	}
+	e.areaAt = g.now
+}
+
+// learn corrects the fit by an answered attempt: the class's base, the weights by the mix it met, and,
+// faster, the engine's slowness. Only slowness beyond the fleet's median is kept from the weights.
+func (g *Gateway) learn(a *attempt, took float64) {
+	c, e := a.q.c, a.e
+	if took <= 0 || a.base <= 0 {
+		return
+	}
+	g.decay(e)
+	x := g.scratch[:0]
+	norm := 1.0
+	for j := range e.area {
+		v := (e.area[j] - a.area[j]) / took
+		x = append(x, v)
+		norm += v * v / (e.kind.cores * e.kind.cores)
+	}
+	want := 1 + e.mix(c.index, x)
+	seen := took * g.warmth(e) / a.base
+	rel := seen / math.Exp(e.slow-g.median)
+	miss := min(max(rel, want/robustRatio), want*robustRatio) - want
+	for j, v := range x {
+		step := miss / norm * v / e.kind.cores
+		e.kind.weights[c.index][j] = math.Max(0, e.kind.weights[c.index][j]+kindGain*step)
+		e.own[c.index][j] += engineGain * step
+	}
+	g.scratch = x
+	c.seen++
+	c.scale *= math.Exp(max(baseGain, 1/(c.seen+2)) * min(max(math.Log(rel/want), -1), 1))
+	limit := math.Log(robustRatio)
+	e.slow += slowGain * (min(max(math.Log(seen/want), -limit), limit) - e.slow)
+	g.adapt(e, c, min(seen, 2*robustRatio), took)
+}
+
+// Admission and choice.
+
+// queryTaken takes a client's query and lines it up; release decides in the same call.
+func (g *Gateway) queryTaken(ev *Event) {
+	c := g.classes[ev.Class]
+	if g.queries[ev.Query] != nil {
+		return
+	}
+	if c == nil {
+		g.do(Action{Type: Fail, Query: ev.Query}) // a class never told: nothing is known of what it may do
+		return
+	}
+	q := &query{id: ev.Query, c: c, tables: ev.Tables, taken: g.now, deadline: g.now + ev.TimeLeft,
+		memory: ev.MemoryMB, unit: c.Aim.Seconds()}
+	if ev.HasCost && ev.Cost > 0 {
+		q.unit = ev.Cost.Seconds() / c.threads
+	}
+	q.unit = math.Max(q.unit, 1e-3)
+	c.work += meanGain * (q.unit*math.Max(1, c.scale)*c.threads - c.work)
+	g.queries[q.id] = q
+	g.taken = append(g.taken, g.now)
+	if b := g.tenants[ev.Tenant]; b != nil {
+		b.level = math.Min(b.rate*quotaBurst, b.level+b.rate*(g.now-b.at).Seconds())
+		b.at = g.now
+		if q.over = b.level < 1; !q.over {
+			b.level--
+		}
+	}
+	if c.InOrder && ev.Key != "" {
+		k := g.keys[ev.Key]
+		if k == nil {
+			k = &orderKey{}
+			g.keys[ev.Key] = k
+		}
+		k.line = append(k.line, q)
+		q.key = k
+	}
+	if ev.TimeLeft <= g.expiry() {
+		g.finish(q)
+		return
+	}
+	g.timer(ev.TimeLeft-g.expiry(), uint64(q.id)+1)
+	g.hold(q)
+}
+
+// timeLeft is the time an estimate must fit in, in seconds: until the client gives up, less a margin
+// for the part of the wait after the aim, in which an answer keeps only its late value.
+func (g *Gateway) timeLeft(q *query) float64 {
+	left := (q.deadline - g.now - g.expiry()).Seconds()
+	aim := q.c.Aim.Seconds() + q.c.AimStretch*g.base(q) - (g.now - q.taken).Seconds()
+	return left - math.Max(0, left-aim)*(1-q.c.LateValue)
+}
+
+// verdict is what choose finds for a query.
+type verdict int
+
+const (
+	refuse verdict = iota
+	wait
+	place
+)
+
+// choose picks the engine with the lowest estimate that fits the time left; an engine holding none of
+// ours comes first. Engines in blocked keep their room for queries with earlier deadlines.
+func (g *Gateway) choose(q *query, blocked map[*engine]bool) (*engine, verdict) {
+	var best *engine
+	var bestCost float64
+	bestIdle, usable, mayWait := false, false, false
+	left := g.timeLeft(q)
+	for _, e := range g.list {
+		if !g.mayUse(q, e) {
+			continue
+		}
+		if e.sick && !g.sickAll && (!e.trial || len(e.running) > 0 || q.c.Effect == Unsafe) {
+			continue
+		}
+		if e == q.avoid && len(g.list) > 1 {
+			mayWait = true
+			continue
+		}
+		usable = true
+		idle := len(e.running) == 0
+		est := g.estimate(q, e)
+		if est > left && !idle {
+			continue
+		}
+		mayWait = true
+		if blocked[e] || g.bound(e) {
+			blocked[e] = true
+			continue
+		}
+		weight := failWeight
+		if q.c.Effect == Unsafe {
+			weight = failFinal
+		}
+		cost := est * (1 + weight*e.failing)
+		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
+			best, bestCost, bestIdle = e, cost, idle
+		}
+	}
+	switch {
+	case best != nil:
+		return best, place
+	case mayWait && !q.over, !usable && g.base(q) <= left:
+		return nil, wait
+	}
+	return nil, refuse
+}
+
+// Thread bound and hold queue.
+
+func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
+
+// bound reports whether the thread bound keeps the next query from an engine: only under pressure.
+func (g *Gateway) bound(e *engine) bool {
+	return (e.latency > pressureRatio || g.now < e.full) && e.threads >= e.bound
+}
+
+// adapt widens the bound near the best latency and cuts it as latency grows.
+func (g *Gateway) adapt(e *engine, c *class, ratio, took float64) {
+	e.latency += latencyGain * (ratio - e.latency)
+	switch {
+	case e.latency < calmRatio:
+		e.bound = math.Max(e.bound, math.Min(e.bound+boundStep*c.threads/e.bound, e.threads+c.threads+boundStep))
+	case e.latency > pressureRatio && g.now > e.cutAt:
+		e.bound = math.Max(1, e.bound*boundCut)
+		e.cutAt = g.now + time.Duration(took*float64(time.Second))
+	}
+}
+
+func (g *Gateway) hold(q *query) {
+	at := sort.Search(len(g.held), func(i int) bool {
+		h := g.held[i]
+		return h.deadline > q.deadline || h.deadline == q.deadline && h.id > q.id
+	})
+	g.held = append(g.held, nil)
+	copy(g.held[at+1:], g.held[at:])
+	g.held[at] = q
+	q.held = true
+}
+
+// release lets held queries leave, earliest deadline first, and refuses those whose estimate no longer
+// fits. Newcomers pass through here too, so nothing overtakes an earlier deadline.
+func (g *Gateway) release() {
+	if len(g.held) == 0 {
+		return
+	}
+	blocked := map[*engine]bool{}
+	line := g.held
+	g.held = nil
+	for _, q := range line {
+		if q.done {
+			continue
+		}
+		q.held = false
+		if !g.mayTryAgain(q) {
+			g.finish(q)
+			continue
+		}
+		if !g.hasTurn(q) {
+			if g.base(q) > g.timeLeft(q) {
+				g.finish(q)
+			} else {
+				g.hold(q)
+			}
+			continue
+		}
+		switch e, v := g.choose(q, blocked); v {
+		case place:
+			g.send(q, e)
+		case wait:
+			g.hold(q)
+		default:
+			g.finish(q)
+		}
+	}
+}
+
+// Attempts and rule guards.
+
+// mayTryAgain guards, for every send, what concerns the query alone: rule 1 (nothing after its end), the
+// effects of a repeat (rule 2) and the budget of further attempts (rule 7).
+func (g *Gateway) mayTryAgain(q *query) bool {
+	if q.done || g.now >= q.deadline || g.cfg.MaxAttempts > 0 && q.tries >= g.cfg.MaxAttempts {
+		return false
+	}
+	if q.doubt != nil {
+		if q.c.Effect == Unsafe || q.c.Effect == Keyed && g.now-q.doubt.at > q.c.Window-g.expiry() {
+			return false
+		}
+	}
+	return q.tries == 0 || g.budgetLeft()
+}
+
+// budgetLeft is rule 7. Queries are counted over a little less than the window and attempts over a
+// little more, so that no reading of its edges breaks it.
+func (g *Gateway) budgetLeft() bool {
+	r := &g.cfg.Rules
+	if !r.HasBudget {
+		g.taken, g.further = g.taken[:0], g.further[:0]
+		return true
+	}
+	for len(g.taken) > 0 && g.taken[0] <= g.now-r.BudgetLookBack+g.expiry() {
+		g.taken = g.taken[1:]
+	}
+	for len(g.further) > 0 && g.further[0] < g.now-r.BudgetLookBack-g.expiry() {
+		g.further = g.further[1:]
+	}
+	return float64(len(g.further)+1) <= r.BudgetFree+r.BudgetShare*float64(len(g.taken))
+}
+
+// hasTurn is rule 5: only the first of a key's line, with nothing of the key running and its rest over.
+func (g *Gateway) hasTurn(q *query) bool {
+	k := q.key
+	return k == nil || k.line[0] == q && g.now >= k.rest && (k.running == 0 || k.running == len(q.out))
+}
+
+// mayUse guards what concerns a query on one engine: the group that drops repeats (rule 2), drains
+// (rule 3), cold engines (rule 4) and placement (rule 6).
+func (g *Gateway) mayUse(q *query, e *engine) bool {
+	c := q.c
+	if !e.known || len(c.Kinds) > 0 && !has(c.Kinds, e.Kind) || len(c.Zones) > 0 && !has(c.Zones, e.Zone) {
+		return false
+	}
+	if d := q.doubt; d != nil && c.Effect == Keyed && c.Scope != ScopeAll && d.e != e {
+		if d.e.Zone != e.Zone || c.Scope == ScopeCell && d.e.Cell != e.Cell {
+			return false
+		}
+	}
+	return g.coldRoom(e, c.work)
+}
+
+// coldRoom is rule 4: this gateway's part of what a cold engine may be sent in any window.
+func (g *Gateway) coldRoom(e *engine, work float64) bool {
+	r := &g.cfg.Rules
+	if g.warmth(e) >= 1 || r.ColdMultiple <= 0 || r.ColdWindow <= 0 {
+		e.coldSent = e.coldSent[:0]
+		return true
+	}
+	for len(e.coldSent) > 0 && e.coldSent[0].at < g.now-r.ColdWindow-g.expiry() {
+		e.coldSent = e.coldSent[1:]
+	}
+	sum := work
+	for _, s := range e.coldSent {
+		sum += s.work
+	}
+	capacity := e.kind.cores * cpuShare * r.ColdFrom
+	return sum <= coldSlack*r.ColdMultiple*capacity*r.ColdWindow.Seconds()/g.gateways
+}
+
+func has(list []string, name string) bool {
+	for _, v := range list {
+		if v == name {
+			return true
+		}
+	}
+	return false
+}
+
+// send is the one place where queries are sent.
+func (g *Gateway) send(q *query, e *engine) {
+	if !g.mayTryAgain(q) || !g.hasTurn(q) || !g.mayUse(q, e) || len(q.out) > 0 && !g.cfg.MayDuplicate {
+		return
+	}
+	g.accrue(e)
+	a := &attempt{q: q, e: e, trial: q.tries, at: g.now, base: g.base(q), est: g.estimate(q, e),
+		area: append([]float64(nil), e.area...), late: lateRatio}
+	g.terms(a)
+	g.do(Action{Type: Send, Query: q.id, Engine: e.ID})
+	if q.tries > 0 {
+		g.further = append(g.further, g.now)
+	}
+	q.tries++
+	q.out = append(q.out, a)
+	if q.key != nil {
+		q.key.running++
+	}
+	e.running = append(e.running, a)
+	e.count[q.c.index]++
+	e.threads += q.c.threads
+	if g.warmth(e) < 1 {
+		e.coldSent = append(e.coldSent, spent{g.now, q.c.work})
+	}
+	g.attempts[attemptKey{q.id, a.trial}] = a
+}
+
+func (g *Gateway) cancel(a *attempt) {
+	if g.cfg.MayCancel && !a.cancelled {
+		a.cancelled = true
+		g.do(Action{Type: Cancel, Query: a.q.id, Attempt: a.trial})
+	}
+}
+
+// finish is the one place where queries end by our hand (rules 1 and 2): refused where trying again is
+// known to be harmless, else failed.
+func (g *Gateway) finish(q *query) {
+	if q.done {
+		return
+	}
+	ran := q.doubt != nil || len(q.out) > 0
+	if q.c.Effect == Safe || !ran || q.c.Effect == Keyed && q.c.Scope == ScopeAll {
+		a := Action{Type: Refuse, Query: q.id}
+		if g.cfg.MayComeBack {
+			a.Wait = time.Duration(comeBackIn * float64(g.cfg.MaxComeBack))
+		}
+		g.do(a)
+	} else {
+		g.do(Action{Type: Fail, Query: q.id})
+	}
+	for _, a := range q.out {
+		g.cancel(a)
+	}
+	g.forget(q)
+}
+
+func (g *Gateway) forget(q *query) {
+	q.done = true
+	delete(g.queries, q.id)
+	if q.held {
+		for i, h := range g.held {
+			if h == q {
+				g.held = append(g.held[:i], g.held[i+1:]...)
+				break
+			}
+		}
+		q.held = false
+	}
+	if k := q.key; k != nil {
+		for i, h := range k.line {
+			if h == q {
+				k.line = append(k.line[:i], k.line[i+1:]...)
+				break
+			}
+		}
+	}
+}
+
+func (g *Gateway) attemptDone(ev *Event) {
+	at := attemptKey{ev.Query, ev.Attempt}
+	a := g.attempts[at]
+	if a == nil {
+		return
+	}
+	delete(g.attempts, at)
+	q, e := a.q, a.e
+	g.accrue(e)
+	e.count[q.c.index]--
+	e.threads -= q.c.threads
+	e.running = without(e.running, a)
+	q.out = without(q.out, a)
+	if q.key != nil {
+		q.key.running--
+		if ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled {
+			q.key.rest = max(q.key.rest, g.now+g.cfg.Rules.OrderRest)
+		}
+	}
+	if !ev.Outcome.NeverRan() && (q.doubt == nil || a.at < q.doubt.at) {
+		q.doubt = a
+	}
+	switch ev.Outcome {
+	case OK:
+		e.heard = g.now
+		g.health(e, true)
+		g.learn(a, ev.Took.Seconds())
+		g.memoryKnown(a, ev.NeededMB)
+	case Full:
+		e.heard, e.full = g.now, g.now+fullPressure
+		e.bound = math.Max(1, e.threads*boundCut)
+	case Failed, Reset, ConnectFailed:
+		e.heard = g.now
+		g.health(e, false)
+	}
+	if ev.Finished && !q.done {
+		g.forget(q)
+	}
+	if q.done || len(q.out) > 0 || q.held {
+		return
+	}
+	q.avoid = e
+	if ev.Outcome == Moot || !g.mayTryAgain(q) {
+		g.finish(q)
+		return
+	}
+	g.hold(q)
+}
+
+func without(list []*attempt, a *attempt) []*attempt {
+	for i, v := range list {
+		if v == a {
+			return append(list[:i], list[i+1:]...)
+		}
+	}
+	return list
+}
+
+// progress reads a note on a running attempt. A bad plan is drawn anew for each attempt, so one that is
+// far behind is called off where a fresh run should end well before it.
+func (g *Gateway) progress(ev *Event) {
+	a := g.attempts[attemptKey{ev.Query, ev.Attempt}]
+	if a == nil {
+		return
+	}
+	a.e.heard = g.now
+	switch ev.Note {
+	case NoteSpills:
+		a.spilled = true
+	case NoteShareDone:
+		q := a.q
+		ran := (g.now - a.at).Seconds()
+		total := ran / math.Max(ev.Value, 1e-3)
+		if q.done || a.cancelled || q.c.Effect != Safe || q.kills >= killsMost || !g.mayTryAgain(q) {
+			return
+		}
+		if total > killRatio*a.est && total-ran > killGain*a.est {
+			q.kills++
+			g.cancel(a)
+		}
+	}
+}
+
+// Memory grants and priority.
+
+// terms names memory and priority for the attempt about to be sent, where the settings heed them.
+func (g *Gateway) terms(a *attempt) {
+	if !g.cfg.TakesGrants && !g.cfg.TakesPriority {
+		return
+	}
+	q := a.q
+	t := Action{Type: SetTerms, Query: q.id, Priority: q.c.rank}
+	if g.cfg.TakesPriority {
+		t.Priority = g.priority(q)
+	}
+	most := g.cfg.MaxGrantShare * a.e.kind.memory
+	switch {
+	case !g.cfg.TakesGrants:
+	case g.cfg.WhenShort == ShortagePage:
+		t.MemoryMB = most // only memory in use counts there, so a generous grant costs nothing
+	case q.memory > 0:
+		t.MemoryMB = q.memory * q.c.grant
+		if most > 0 {
+			t.MemoryMB = math.Min(t.MemoryMB, most)
+		}
+	}
+	a.grant = t.MemoryMB
+	g.do(t)
+}
+
+// priority ranks classes by worth for each second of work.
+func (g *Gateway) priority(q *query) int {
+	rank := topRank
+	for _, c := range g.order {
+		if c.Worth/c.work > q.c.Worth/q.c.work {
+			rank--
+		}
+	}
+	return max(rank, 1)
+}
+
+// memoryKnown steers a class's grant so that few of its queries spill.
+func (g *Gateway) memoryKnown(a *attempt, needed float64) {
+	if a.grant <= 0 || a.q.memory <= 0 {
+		return
+	}
+	c := a.q.c
+	if a.spilled || needed > a.grant {
+		c.grant *= 1 + grantUp
+	} else {
+		c.grant *= 1 - grantDown
+	}
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,428 @@
+// Package wire reads and writes the simulator's text protocol: it parses and formats, nothing else.
+package wire
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"cresspass"
+)
+
+// sheetCount is how many numbered engine lists the protocol knows.
+const sheetCount = 16
+
+// MessageType tells what a Message carries.
+type MessageType int
+
+// The types of message.
+const (
+	Start     MessageType = iota // a new instance, with Config
+	Stop                         // the instance was killed
+	Happening                    // Event
+)
+
+// Message is one line addressed to an instance.
+type Message struct {
+	Type     MessageType
+	Instance int
+	Config   cresspass.Config
+	Event    cresspass.Event
+}
+
+// Batch is what the wire delivers at one time of its clock.
+type Batch struct {
+	Now      time.Duration
+	Messages []Message
+}
+
+// Reader reads batches.
+type Reader struct {
+	in     *bufio.Reader
+	line   int
+	sheets [sheetCount][]cresspass.EngineInfo
+	batch  Batch
+	fields []field
+}
+
+type field struct{ name, value string }
+
+// NewReader returns a Reader of in.
+func NewReader(in io.Reader) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, 1<<20)}
+}
+
+// Next returns the next batch, valid until the following call, or io.EOF at the end of the input.
+// Any other error tells the line and what was wrong with it.
+func (r *Reader) Next() (*Batch, error) {
+	name, p, err := r.read()
+	if err != nil {
+		return nil, err
+	}
+	if name != "clock" {
+		return nil, r.fault("%q where a batch should begin, expected clock", name)
+	}
+	r.batch.Now = p.micros("now-us", true)
+	r.batch.Messages = r.batch.Messages[:0]
+	if p.err != nil {
+		return nil, p.err
+	}
+	for {
+		name, p, err := r.read()
+		if err == io.EOF {
+			return nil, r.fault("the input ended inside a batch, expected eob")
+		}
+		if err != nil {
+			return nil, err
+		}
+		if name == "eob" {
+			return &r.batch, nil
+		}
+		if err := r.message(name, p); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (r *Reader) fault(format string, args ...any) error {
+	return fmt.Errorf("line %d: %s", r.line, fmt.Sprintf(format, args...))
+}
+
+// read returns the name and the fields of the next line.
+func (r *Reader) read() (string, *parser, error) {
+	text, err := r.in.ReadString('\n')
+	if err == io.EOF && text == "" {
+		return "", nil, io.EOF
+	}
+	r.line++
+	if err != nil && err != io.EOF {
+		return "", nil, err
+	}
+	text = strings.TrimRight(text, "\r\n")
+	name, rest, _ := strings.Cut(text, " ")
+	if name == "" || strings.Contains(name, "=") {
+		return "", nil, r.fault("%q where a name should stand, expected a message's name", name)
+	}
+	r.fields = r.fields[:0]
+	for rest != "" {
+		var part string
+		part, rest, _ = strings.Cut(rest, " ")
+		key, value, ok := strings.Cut(part, "=")
+		if !ok || key == "" {
+			return "", nil, r.fault("%q is no field, expected name=value", part)
+		}
+		r.fields = append(r.fields, field{key, value})
+	}
+	return name, &parser{reader: r, fields: r.fields}, nil
+}
+
+// message adds the message of one line to the batch.
+func (r *Reader) message(name string, p *parser) error {
+	m := Message{Type: Happening}
+	e := &m.Event
+	switch name {
+	case "roster":
+		return r.roster(p)
+	case "provision":
+		m.Type = Start
+		m.Config = p.config()
+	case "retire":
+		m.Type = Stop
+	case "sync":
+		e.Type = cresspass.EngineList
+		e.Listing = choose(p, "scope", map[string]cresspass.Listing{"delta": cresspass.ListChanges,
+			"full": cresspass.ListFull, "cached": cresspass.ListCached, "failed": cresspass.ListFailed})
+		if e.Listing != cresspass.ListFailed {
+			if n := p.whole("sheet", true); n >= sheetCount {
+				p.bad("sheet", "a list number from 0 to 15")
+			} else {
+				e.Engines = r.sheets[n]
+			}
+		}
+	case "ask":
+		e.Type = cresspass.QueryTaken
+		e.Query = cresspass.QueryID(p.whole("op-id", true))
+		e.Tables = p.number("tables")
+		opts := p.whole("opts", false)
+		e.HasCost, e.IsRepeat, e.IsWrite = opts&1 != 0, opts&2 != 0, opts&4 != 0
+		e.TimeLeft = p.micros("budget-us", true)
+		e.Class = p.text("category")
+		e.Key = p.text("object")
+		e.MemoryMB = p.number("ram-mb")
+		if e.Tenant = p.text("project"); e.Tenant == "0" {
+			e.Tenant = ""
+		}
+		e.Cost = p.micros("cost-us", false)
+	case "alarm":
+		e.Type = cresspass.TimerDue
+		e.Label = p.whole("label", true)
+	case "message":
+		e.Type = cresspass.PeerMessage
+		e.Peer = int(p.whole("sender", true))
+		e.Data = p.bytes("msg")
+	case "check_result":
+		e.Type = cresspass.ProbeDone
+		e.Engine = cresspass.EngineID(p.text("node"))
+		e.Outcome = cresspass.Outcome(p.whole("disposition", true))
+		e.Took = p.micros("duration-us", false)
+		e.Report, e.HasReport = p.row("health-info")
+	case "closed_attempt":
+		e.Type = cresspass.AttemptDone
+		p.attempt(e)
+		e.Outcome = cresspass.Outcome(p.whole("disposition", true))
+		e.Took = p.micros("duration-us", false)
+		e.Finished = p.flag("finished")
+		note := p.whole("note", false)
+		e.WorkDone = time.Duration(note>>12) * time.Millisecond
+		e.NeededMB = float64(note&4095) * 4
+		e.Report, e.HasReport = p.row("health-info")
+	case "notice":
+		e.Type = cresspass.Progress
+		p.attempt(e)
+		e.Note = cresspass.NoteType(p.whole("topic", true))
+		e.Value = p.number("x")
+	case "flowing":
+		e.Type = cresspass.StreamBegun
+		p.attempt(e)
+		e.Took = p.micros("duration-us", false)
+	case "gone":
+		e.Type = cresspass.ClientGone
+		e.Query = cresspass.QueryID(p.whole("op-id", true))
+	default:
+		return nil // a later protocol's event
+	}
+	m.Instance = int(p.whole("dispatcher", true))
+	if p.err != nil {
+		return p.err
+	}
+	r.batch.Messages = append(r.batch.Messages, m)
+	return nil
+}
+
+// roster reads a numbered engine list and its entries.
+func (r *Reader) roster(p *parser) error {
+	sheet, count := p.whole("sheet", true), p.whole("elements", true)
+	if sheet >= sheetCount {
+		p.bad("sheet", "a list number from 0 to 15")
+	}
+	if p.err != nil {
+		return p.err
+	}
+	var list []cresspass.EngineInfo
+	for range count {
+		name, p, err := r.read()
+		if err == io.EOF {
+			return r.fault("the input ended inside a roster of %d, expected entry", count)
+		}
+		if err != nil {
+			return err
+		}
+		if name != "entry" {
+			return r.fault("%q inside a roster of %d, expected entry", name, count)
+		}
+		list = append(list, cresspass.EngineInfo{
+			ID: cresspass.EngineID(p.must("node")),
+			State: choose(p, "state", map[string]cresspass.EngineState{"on": cresspass.EngineOn,
+				"fading": cresspass.EngineDraining, "off": cresspass.EngineGone}),
+			Kind: p.text("flavor"), Zone: p.text("area"), Cell: int(p.whole("block", false)),
+			Size: p.number("size"), Started: p.micros("start-time-us", false),
+		})
+		if p.err != nil {
+			return p.err
+		}
+	}
+	r.sheets[sheet] = list
+	return nil
+}
+
+// parser takes typed values from a line's fields and keeps the first error.
+type parser struct {
+	reader *Reader
+	fields []field
+	err    error
+}
+
+func (p *parser) find(name string) (string, bool) {
+	for i := range p.fields {
+		if p.fields[i].name == name {
+			return p.fields[i].value, true
+		}
+	}
+	return "", false
+}
+
+func (p *parser) text(name string) string {
+	v, _ := p.find(name)
+	return v
+}
+
+func (p *parser) must(name string) string {
+	v, ok := p.find(name)
+	if !ok || v == "" {
+		p.bad(name, "a value")
+	}
+	return v
+}
+
+func (p *parser) bad(name, want string) {
+	if p.err == nil {
+		v, ok := p.find(name)
+		if !ok {
+			v = "nothing"
+		}
+		p.err = p.reader.fault("%s is %s, expected %s", name, v, want)
+	}
+}
+
+func (p *parser) whole(name string, required bool) uint64 {
+	v, ok := p.find(name)
+	if !ok && !required {
+		return 0
+	}
+	n, err := strconv.ParseUint(v, 10, 63)
+	if err != nil {
+		p.bad(name, "a whole number")
+	}
+	return n
+}
+
+func (p *parser) micros(name string, required bool) time.Duration {
+	v, ok := p.find(name)
+	if !ok && !required {
+		return 0
+	}
+	n, err := strconv.ParseInt(v, 10, 64)
+	if err != nil || n > math.MaxInt64/1000 || n < math.MinInt64/1000 {
+		p.bad(name, "microseconds in whole numbers")
+		return 0
+	}
+	return time.Duration(n) * time.Microsecond
+}
+
+func (p *parser) number(name string) float64 {
+	v, ok := p.find(name)
+	if !ok {
+		return 0
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if err != nil {
+		p.bad(name, "a number")
+	}
+	return n
+}
+
+func (p *parser) flag(name string) bool {
+	switch v, _ := p.find(name); v {
+	case "1", "true":
+		return true
+	case "", "0", "false":
+		return false
+	}
+	p.bad(name, "1 or 0")
+	return false
+}
+
+func (p *parser) bytes(name string) []byte {
+	v := p.text(name)
+	if v == "-" || v == "" {
+		return nil
+	}
+	b, err := hex.DecodeString(v)
+	if err != nil {
+		p.bad(name, "hex digits")
+	}
+	return b
+}
+
+func (p *parser) row(name string) ([]float64, bool) {
+	v, ok := p.find(name)
+	if !ok || v == "" {
+		return nil, false
+	}
+	var out []float64
+	for part := range strings.SplitSeq(v, ",") {
+		n, err := strconv.ParseFloat(part, 64)
+		if err != nil {
+			p.bad(name, "numbers set apart by commas")
+		}
+		out = append(out, n)
+	}
+	return out, true
+}
+
+func (p *parser) attempt(e *cresspass.Event) {
+	e.Query = cresspass.QueryID(p.whole("op-id", true))
+	e.Attempt = int(p.whole("trial", false))
+	e.Engine = cresspass.EngineID(p.text("node"))
+}
+
+// choose reads a field that holds one of a few words.
+func choose[T any](p *parser, name string, words map[string]T) T {
+	v, ok := words[p.text(name)]
+	if !ok {
+		p.bad(name, "one of the protocol's words")
+	}
+	return v
+}
+
+// WriteAction writes one action of an instance.
+func WriteAction(w *bufio.Writer, instance int, a *cresspass.Action) {
+	switch a.Type {
+	case cresspass.Send:
+		fmt.Fprintf(w, "dispatch dispatcher=%d op-id=%d node=%s", instance, a.Query, a.Engine)
+		if a.Wait != 0 {
+			fmt.Fprintf(w, " patience-us=%d", a.Wait.Microseconds())
+		}
+	case cresspass.SetTimer:
+		fmt.Fprintf(w, "defer dispatcher=%d delay-us=%d label=%d", instance, a.Wait.Microseconds(), a.Label)
+	case cresspass.FetchList:
+		fmt.Fprintf(w, "list_all dispatcher=%d", instance)
+	case cresspass.CloseIdle:
+		fmt.Fprintf(w, "let_go dispatcher=%d node=%s", instance, a.Engine)
+	case cresspass.Tell:
+		data := "-"
+		if len(a.Data) > 0 {
+			data = hex.EncodeToString(a.Data)
+		}
+		fmt.Fprintf(w, "share dispatcher=%d recipient=%d msg=%s", instance, a.Peer, data)
+	case cresspass.Refuse:
+		fmt.Fprintf(w, "deny dispatcher=%d op-id=%d", instance, a.Query)
+		if a.Wait > 0 {
+			fmt.Fprintf(w, " not-before-for-us=%d", a.Wait.Microseconds())
+		}
+	case cresspass.Fail:
+		fmt.Fprintf(w, "finish_error dispatcher=%d op-id=%d", instance, a.Query)
+	case cresspass.Probe:
+		fmt.Fprintf(w, "touch dispatcher=%d node=%s", instance, a.Engine)
+	case cresspass.Cancel:
+		fmt.Fprintf(w, "retract dispatcher=%d op-id=%d trial=%d", instance, a.Query, a.Attempt)
+	case cresspass.SetTerms:
+		fmt.Fprintf(w, "allot dispatcher=%d op-id=%d rank=%d workspace-mb=%s", instance, a.Query,
+			a.Priority, strconv.FormatFloat(a.MemoryMB, 'f', -1, 64))
+	case cresspass.Log:
+		fmt.Fprintf(w, "emit dispatcher=%d words=%s", instance, oneLine(a.Text))
+	case cresspass.Subscribe:
+		want := 0
+		if a.On {
+			want = 1
+		}
+		fmt.Fprintf(w, "follow dispatcher=%d want=%d", instance, want)
+	default:
+		return
+	}
+	w.WriteByte('\n')
+}
+
+// WriteFault declares that an instance's decision code has failed.
+func WriteFault(w *bufio.Writer, instance int, text string) {
+	fmt.Fprintf(w, "give_in dispatcher=%d words=%s\n", instance, oneLine(text))
+}
+
+func oneLine(text string) string {
+	return strings.Join(strings.Fields(text), " ")
+}
