--- a/gateway.go
+++ b/gateway.go
@@ -42,18 +42,19 @@
 	shunMost    = 5 * time.Second
 	trialsGood  = 2 // answered trials after which an engine is well again
 
-	coldSlack  = 0.5  // part of the cold budget used, for chance and mistaken work
-	cpuShare   = 0.85 // a capacity is the rate at which cores are this busy
-	killRatio  = 2.5  // a projected run this many times over its base is a bad plan
-	killGain   = 1.3  // what is left must exceed a fresh run's estimate by this ratio
-	killsMost  = 2    // a query that is long every time is just long
-	grantStart = 1.25 // memory granted over the estimate, adapted by class
-	grantUp    = 0.06
-	grantDown  = 0.01
-	quotaBurst = 2.0 // seconds of a tenant's share that may come at once
-	comeBackIn = 1.0 // share of the longest come-back time asked for
-	askRetry   = 500 * time.Millisecond
-	topRank    = 3
+	coldSlack    = 0.5  // part of the cold budget used, for chance and mistaken work
+	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
+	killRatio    = 2.5  // a projected run this many times over its base is a bad plan
+	killGain     = 1.3  // what is left must exceed a fresh run's estimate by this ratio
+	killsMost    = 2    // a query that is long every time is just long
+	grantStart   = 1.25 // memory granted over the estimate, adapted by class
+	grantUp      = 0.06
+	grantDown    = 0.01
+	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
+	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
+	comeBackIn   = 1.0 // share of the longest come-back time asked for
+	askRetry     = 500 * time.Millisecond
+	topRank      = 3
 )
 
 type class struct {
@@ -400,6 +401,7 @@
 			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
 			if age > a.late*a.est && !a.cancelled {
 				e.slow += slowGain * math.Max(0, math.Log(a.late)+math.Log(a.est/(a.base))-e.slow)
+				e.latency += latencyGain * math.Max(0, math.Min(a.late*a.est/a.base, 2*robustRatio)-e.latency)
 				a.late *= lateRatio
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
@@ -614,7 +616,9 @@
 		if q.c.Effect == Unsafe {
 			weight = failFinal
 		}
-		cost := est * (1 + weight*e.failing)
+		// Danger: while weights are small all estimates are alike, and the engine that looks fastest
+		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
+		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
 		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
 			best, bestCost, bestIdle = e, cost, idle
 		}
