Anchor the base: learn it from lightly loaded outcomes, share one log error, cap the weights

Cause: base and weights were fitted to different errors and drifted apart, so latency over best looked bad for ever and everything was refused. Robust against runaways by the clip; it might hurt where a gateway never meets light load, since the base then keeps its start.

--- a/gateway.go
+++ b/gateway.go
@@ -17,7 +17,9 @@
 	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
 	kindGain     = 0.10 // gain of a kind's average weights
 	engineGain   = 0.05 // gain of an engine's own deviation from its kind
+	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
 	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
+	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
 	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
 	slowHalfLife = 8 * time.Second
 	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
@@ -27,6 +29,7 @@
 	calmRatio     = 1.5 // latency over best under which it widens
 	latencyGain   = 0.15
 	boundStep     = 1.0 // threads added for each bound's worth of outcomes near best
+	boundLeast    = 0.5 // the bound is cut to this share of its start at most
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
 	fullPressure  = time.Second
 
@@ -86,7 +89,7 @@
 	threads float64
 	slow    float64 // log of the fast-moving slowness
 	slowAt  time.Duration
-	latency float64 // recent latency over best
+	latency float64 // log of the recent latency over best
 	bound   float64 // threads this gateway may run here under pressure
 	cutAt   time.Duration
 	full    time.Duration // under pressure until then: it turned work away
@@ -334,7 +337,7 @@
 		k = g.newKind()
 		g.kinds[info.Kind] = k
 	}
-	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(), 1, 0, 0, 0
+	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(), 0, 0, 0, 0
 	e.bound = g.boundStart(e)
 	e.sick, e.probing, e.trial, e.shunFor = false, false, false, 0
 	e.heard, e.slowAt = g.now, g.now
@@ -401,7 +404,7 @@
 			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
 			if age > a.late*a.est && !a.cancelled {
 				e.slow += slowGain * math.Max(0, math.Log(a.late)+math.Log(a.est/(a.base))-e.slow)
-				e.latency += latencyGain * math.Max(0, math.Min(a.late*a.est/a.base, 2*robustRatio)-e.latency)
+				e.latency += latencyGain * math.Max(0, math.Min(math.Log(a.late*a.est/a.base), 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
@@ -506,19 +509,27 @@
 	}
 	want := 1 + e.mix(c.index, x)
 	seen := took * g.warmth(e) / a.base
-	rel := seen / math.Exp(e.slow-g.median)
-	miss := min(max(rel, want/robustRatio), want*robustRatio) - want
+	// Errors are taken in logarithms and clipped: queries are widely spread, and one runaway must not
+	// move the weights. Base and weights share the error, else they drift apart.
+	limit := math.Log(robustRatio)
+	miss := min(max(math.Log(seen/want)-e.slow+g.median, -limit), limit)
+	used := 0.0
 	for j, v := range x {
-		step := miss / norm * v / e.kind.cores
-		e.kind.weights[c.index][j] = math.Max(0, e.kind.weights[c.index][j]+kindGain*step)
-		e.own[c.index][j] += engineGain * step
+		threads := g.order[j].threads
+		used += v * threads
+		step := miss * want / norm * v / e.kind.cores
+		most := weightMost * threads
+		e.kind.weights[c.index][j] = min(max(e.kind.weights[c.index][j]+kindGain*step, 0), most)
+		e.own[c.index][j] = min(max(e.own[c.index][j]+engineGain*step, -most), most)
 	}
 	g.scratch = x
-	c.seen++
-	c.scale *= math.Exp(max(baseGain, 1/(c.seen+2)) * min(max(math.Log(rel/want), -1), 1))
-	limit := math.Log(robustRatio)
+	// The base is the unloaded time, so only outcomes that met little of ours correct it.
+	if light := 1 - (used-c.threads)/g.boundStart(e); light > 0 {
+		c.seen += light
+		c.scale *= math.Exp(light * max(baseGain, 1/(c.seen+2)) * miss)
+	}
 	e.slow += slowGain * (min(max(math.Log(seen/want), -limit), limit) - e.slow)
-	g.adapt(e, c, min(seen, 2*robustRatio), took)
+	g.adapt(e, c, min(max(math.Log(seen), -limit), 2*limit), took)
 }
 
 // Admission and choice.
@@ -538,7 +549,7 @@
 	if ev.HasCost && ev.Cost > 0 {
 		q.unit = ev.Cost.Seconds() / c.threads
 	}
-	q.unit = math.Max(q.unit, 1e-3)
+	q.unit = math.Max(q.unit, unitLeast*c.Aim.Seconds())
 	c.work += meanGain * (q.unit*math.Max(1, c.scale)*c.threads - c.work)
 	g.queries[q.id] = q
 	g.taken = append(g.taken, g.now)
@@ -638,17 +649,18 @@
 
 // bound reports whether the thread bound keeps the next query from an engine: only under pressure.
 func (g *Gateway) bound(e *engine) bool {
-	return (e.latency > pressureRatio || g.now < e.full) && e.threads >= e.bound
+	return (e.latency > math.Log(pressureRatio) || g.now < e.full) && e.threads >= e.bound
 }
 
 // adapt widens the bound near the best latency and cuts it as latency grows.
 func (g *Gateway) adapt(e *engine, c *class, ratio, took float64) {
 	e.latency += latencyGain * (ratio - e.latency)
+	latency := math.Exp(e.latency)
 	switch {
-	case e.latency < calmRatio:
+	case latency < calmRatio:
 		e.bound = math.Max(e.bound, math.Min(e.bound+boundStep*c.threads/e.bound, e.threads+c.threads+boundStep))
-	case e.latency > pressureRatio && g.now > e.cutAt:
-		e.bound = math.Max(1, e.bound*boundCut)
+	case latency > pressureRatio && g.now > e.cutAt:
+		e.bound = math.Max(math.Max(1, boundLeast*g.boundStart(e)), e.bound*boundCut)
 		e.cutAt = g.now + time.Duration(took*float64(time.Second))
 	}
 }
