--- a/gateway.go
+++ b/gateway.go
@@ -29,6 +29,7 @@
 	calmRatio     = 1.5 // latency over best under which it widens
 	latencyGain   = 0.15
 	boundStep     = 1.0 // threads added for each bound's worth of outcomes near best
+	boundMost     = 2.0 // and never allows more than this many times its start
 	boundLeast    = 0.5 // the bound is cut to this share of its start at most
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
 	fullPressure  = time.Second
@@ -648,7 +649,12 @@
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
 
 // bound reports whether the thread bound keeps the next query from an engine: only under pressure.
+// Danger: latency shows pressure late, and while other engines are bound, all queries pour into one that
+// looks calm. So an engine filled with boundMost times our part of its cores is under pressure as well.
 func (g *Gateway) bound(e *engine) bool {
+	if e.threads >= boundMost*g.boundStart(e) {
+		return true
+	}
 	return (e.latency > math.Log(pressureRatio) || g.now < e.full) && e.threads >= e.bound
 }
 
@@ -658,7 +664,7 @@
 	latency := math.Exp(e.latency)
 	switch {
 	case latency < calmRatio:
-		e.bound = math.Max(e.bound, math.Min(e.bound+boundStep*c.threads/e.bound, e.threads+c.threads+boundStep))
+		e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, boundMost*g.boundStart(e))
 	case latency > pressureRatio && g.now > e.cutAt:
 		e.bound = math.Max(math.Max(1, boundLeast*g.boundStart(e)), e.bound*boundCut)
 		e.cutAt = g.now + time.Duration(took*float64(time.Second))
