Let calm outcomes widen the capped bound where it is in use

It covers any uneven split of traffic between gateways; it may hurt where latency stays calm until an engine tips.

--- a/gateway.go
+++ b/gateway.go
@@ -29,7 +29,9 @@
 	calmRatio     = 1.5 // latency over best under which it widens
 	latencyGain   = 0.15
 	boundStep     = 1.0 // threads added for each bound's worth of outcomes near best
-	boundMost     = 2.0 // and never allows more than this many times its start
+	boundMost     = 2.0 // from this many times its start it binds always...
+	boundCores    = 1.5 // ...unless calm outcomes have widened it further, to this many threads a core
+	boundUsed     = 0.5 // it widens only while this share of it is in use
 	boundLeast    = 0.5 // the bound is cut to this share of its start at most
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
 	fullPressure  = time.Second
@@ -652,7 +654,7 @@
 // Danger: latency shows pressure late, and while other engines are bound, all queries pour into one that
 // looks calm. So an engine filled with boundMost times our part of its cores is under pressure as well.
 func (g *Gateway) bound(e *engine) bool {
-	if e.threads >= boundMost*g.boundStart(e) {
+	if e.threads >= math.Max(boundMost*g.boundStart(e), e.bound) {
 		return true
 	}
 	return (e.latency > math.Log(pressureRatio) || g.now < e.full) && e.threads >= e.bound
@@ -664,9 +666,11 @@
 	latency := math.Exp(e.latency)
 	switch {
 	case latency < calmRatio:
-		e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, boundMost*g.boundStart(e))
+		if e.threads >= boundUsed*e.bound { // a bound that is not felt needs no widening
+			e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, math.Max(boundCores*e.kind.cores, 1))
+		}
 	case latency > pressureRatio && g.now > e.cutAt:
-		e.bound = math.Max(math.Max(1, boundLeast*g.boundStart(e)), e.bound*boundCut)
+		e.bound = math.Max(math.Max(1, boundLeast*g.boundStart(e)), math.Min(e.bound, e.threads+c.threads)*boundCut)
 		e.cutAt = g.now + time.Duration(took*float64(time.Second))
 	}
 }
