--- a/gateway.go
+++ b/gateway.go
@@ -32,7 +32,7 @@
 	boundMost     = 2.0 // from this many times its start it binds always...
 	boundCores    = 1.5 // ...unless calm outcomes have widened it further, to this many threads a core
 	boundUsed     = 0.5 // it widens only while this share of it is in use
-	boundLeast    = 0.5 // the bound is cut to this share of its start at most
+	boundLeast    = 1.0 // the bound is cut to this share of its start at most
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
 	fullPressure  = time.Second
 
