The time left ends at the aim

Cause: with late value counted in, held reports were served late and took the room of ones in time. It may hurt where late answers are worth nearly as much as ones in time.

--- a/gateway.go
+++ b/gateway.go
@@ -585,7 +585,7 @@
 func (g *Gateway) timeLeft(q *query) float64 {
 	left := (q.deadline - g.now - g.expiry()).Seconds()
 	aim := q.c.Aim.Seconds() + q.c.AimStretch*g.base(q) - (g.now - q.taken).Seconds()
-	return left - math.Max(0, left-aim)*(1-q.c.LateValue)
+	return math.Min(left, aim)
 }
 
 // verdict is what choose finds for a query.
