--- a/gateway.go
+++ b/gateway.go
@@ -17,6 +17,7 @@
 	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
 	kindGain     = 0.10 // gain of a kind's average weights
 	engineGain   = 0.05 // gain of an engine's own deviation from its kind
+	firstTry     = 0.98 // a try that may last less than this share of the longest seen is a later one
 	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
 	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
 	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
@@ -70,9 +71,10 @@
 	loads   bool
 	scale   float64 // unloaded time over the told estimate (or over the aim where none is told)
 	seen    float64
-	work    float64 // mean work of a query, in thread seconds
-	grant   float64 // memory granted over the told estimate
-	rank    int     // priority
+	work    float64       // mean work of a query, in thread seconds
+	grant   float64       // memory granted over the told estimate
+	rank    int           // priority
+	wait    time.Duration // longest wait of a try seen
 }
 
 type kind struct {
@@ -135,7 +137,8 @@
 	over     bool // beyond its tenant's share
 	deadline time.Duration
 	taken    time.Duration
-	unit     float64 // told estimate over threads, or the aim, in seconds
+	waited   time.Duration // what the client had waited in earlier tries
+	unit     float64       // told estimate over threads, or the aim, in seconds
 	memory   float64
 	tries    int
 	kills    int
@@ -552,6 +555,12 @@
 	if ev.HasCost && ev.Cost > 0 {
 		q.unit = ev.Cost.Seconds() / c.threads
 	}
+	// Danger: a refused client comes again, its aim counts from its first try, and work for answers that can
+	// earn nothing keeps an overload alive. A shorter wait than first tries have tells what has passed.
+	c.wait = max(c.wait, ev.TimeLeft)
+	if ev.IsRepeat || float64(ev.TimeLeft) < firstTry*float64(c.wait) {
+		q.waited = max(0, c.Deadline-ev.TimeLeft)
+	}
 	q.unit = math.Max(q.unit, unitLeast*c.Aim.Seconds())
 	c.work += meanGain * (q.unit*math.Max(1, c.scale)*c.threads - c.work)
 	g.queries[q.id] = q
@@ -584,7 +593,7 @@
 // for the part of the wait after the aim, in which an answer keeps only its late value.
 func (g *Gateway) timeLeft(q *query) float64 {
 	left := (q.deadline - g.now - g.expiry()).Seconds()
-	aim := q.c.Aim.Seconds() + q.c.AimStretch*g.base(q) - (g.now - q.taken).Seconds()
+	aim := q.c.Aim.Seconds() + q.c.AimStretch*g.base(q) - (g.now - q.taken + q.waited).Seconds()
 	return math.Min(left, aim)
 }
 
@@ -618,7 +627,7 @@
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est > left && !idle {
+		if est > left && (!idle || left <= 0) {
 			continue
 		}
 		mayWait = true
