Later tries: passed time only where the wait shows it; idle engines may serve late answers that earn something

The lateness guess now needs a wait shorter than the longest seen, so a quick repeat is never mistaken for an old one.

--- a/gateway.go
+++ b/gateway.go
@@ -558,7 +558,7 @@
 	// Danger: a refused client comes again, its aim counts from its first try, and work for answers that can
 	// earn nothing keeps an overload alive. A shorter wait than first tries have tells what has passed.
 	c.wait = max(c.wait, ev.TimeLeft)
-	if ev.IsRepeat || float64(ev.TimeLeft) < firstTry*float64(c.wait) {
+	if float64(ev.TimeLeft) < firstTry*float64(c.wait) {
 		q.waited = max(0, c.Deadline-ev.TimeLeft)
 	}
 	q.unit = math.Max(q.unit, unitLeast*c.Aim.Seconds())
@@ -627,7 +627,7 @@
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est > left && (!idle || left <= 0) {
+		if est > left && (!idle || left <= 0 && q.c.LateValue == 0) {
 			continue
 		}
 		mayWait = true
