--- a/gateway.go
+++ b/gateway.go
@@ -34,7 +34,6 @@
 	boundMost     = 2.0 // from this many times its start it binds always...
 	boundCores    = 1.5 // ...unless calm outcomes have widened it further, to this many threads a core
 	boundUsed     = 0.5 // it widens only while this share of it is in use
-	boundLeast    = 1.0 // the bound is cut to this share of its start at most
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
 	fullPressure  = time.Second
 
@@ -60,7 +59,6 @@
 	grantDown    = 0.01
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
 	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
-	comeBackIn   = 1.0 // share of the longest come-back time asked for
 	askRetry     = 500 * time.Millisecond
 	topRank      = 3
 )
@@ -74,12 +72,11 @@
 	seen    float64
 	work    float64       // mean work of a query, in thread seconds
 	grant   float64       // memory granted over the told estimate
-	rank    int           // priority
 	wait    time.Duration // longest wait of a try seen
 }
 
 type kind struct {
-	cores, memory float64
+	cores, memory float64     // memory in MB
 	weights       [][]float64 // per class: time a running query of each class adds, over base, per core
 }
 
@@ -100,16 +97,13 @@
 	cutAt   time.Duration
 	full    time.Duration // under pressure until then: it turned work away
 
-	failing   float64
-	streak    int
-	heard     time.Duration // last sign of life
-	sick      bool
-	probing   bool
-	trial     bool // open to one trial query at a time
-	trialsOK  int
-	shunUntil time.Duration
-	shunFor   time.Duration
-	coldSent  []spent
+	failing            float64       // recent share of failed attempts
+	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
+	heard              time.Duration // last sign of life
+	sick, probing      bool
+	trial              bool // open to one trial query at a time
+	shunUntil, shunFor time.Duration
+	coldSent           []spent
 }
 
 type spent struct {
@@ -124,10 +118,10 @@
 	at        time.Duration
 	base, est float64 // seconds
 	grant     float64
-	area      []float64
-	late      float64
-	cancelled bool
-	spilled   bool
+	area      []float64 // the engine's integral of the mix when it was sent
+	late      float64   // next multiple of the estimate at which it counts as overdue
+
+	cancelled, spilled bool
 }
 
 type query struct {
@@ -141,13 +135,12 @@
 	waited   time.Duration // what the client had waited in earlier tries
 	unit     float64       // told estimate over threads, or the aim, in seconds
 	memory   float64
-	tries    int
-	kills    int
 	out      []*attempt
-	avoid    *engine
+	avoid    *engine  // where its last attempt ended
 	doubt    *attempt // earliest attempt that may have run
-	held     bool
-	done     bool
+
+	tries, kills int
+	held, done   bool
 }
 
 type orderKey struct {
@@ -156,11 +149,6 @@
 	rest    time.Duration
 }
 
-type attemptKey struct {
-	id    QueryID
-	trial int
-}
-
 type bucket struct {
 	level, rate float64
 	at          time.Duration
@@ -177,18 +165,18 @@
 	engines  map[EngineID]*engine
 	list     []*engine // all engines known, by ID
 	queries  map[QueryID]*query
-	attempts map[attemptKey]*attempt
+	attempts map[[2]uint64]*attempt
 	held     []*query // earliest deadline first
 	keys     map[string]*orderKey
 	tenants  map[string]*bucket
-	taken    []time.Duration
-	further  []time.Duration
+	scratch  []float64
+	askAt    time.Duration
 	gateways float64
 	median   float64 // log of the fleet's median slowness
-	scratch  []float64
+	sickAll  bool    // so many engines look sick that it is not the engines
 	started  bool
-	askAt    time.Duration
-	sickAll  bool // so many engines look sick that it is not the engines
+
+	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
 }
 
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
@@ -197,10 +185,11 @@
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
-		engines: map[EngineID]*engine{}, queries: map[QueryID]*query{}, attempts: map[attemptKey]*attempt{},
-		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, gateways: math.Max(1, float64(cfg.Gateways))}
+		engines: map[EngineID]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
+		keys: map[string]*orderKey{}, tenants: map[string]*bucket{},
+		gateways: math.Max(1, float64(cfg.Gateways))}
 	for i, c := range cfg.Classes {
-		k := &class{Class: c, index: i, threads: 1, scale: 1, grant: grantStart, rank: 1}
+		k := &class{Class: c, index: i, threads: 1, scale: 1, grant: grantStart}
 		if len(cfg.ClassThreads) > 0 {
 			k.threads = cfg.ClassThreads[i]
 		}
@@ -210,7 +199,7 @@
 		g.order = append(g.order, k)
 	}
 	for i, name := range cfg.KindNames {
-		k := g.newKind()
+		k := &kind{cores: 1, weights: g.newWeights()}
 		if len(cfg.KindCores) > 0 {
 			k.cores = cfg.KindCores[i]
 		}
@@ -227,12 +216,10 @@
 	return g, nil
 }
 
-func (g *Gateway) newKind() *kind { return &kind{cores: 1, weights: g.newWeights()} }
-
 func (g *Gateway) newWeights() [][]float64 {
-	w := make([][]float64, len(g.cfg.Classes))
+	w := make([][]float64, len(g.order))
 	for i := range w {
-		w[i] = make([]float64, len(g.cfg.Classes))
+		w[i] = make([]float64, len(g.order))
 	}
 	return w
 }
@@ -265,7 +252,7 @@
 		g.queryTaken(ev)
 	case TimerDue:
 		if ev.Label == 0 {
-			g.tick()
+			g.watch()
 		} else if q := g.queries[QueryID(ev.Label-1)]; q != nil && g.now >= q.deadline-g.expiry() {
 			g.finish(q)
 		}
@@ -290,14 +277,6 @@
 
 func (g *Gateway) expiry() time.Duration { return expiryTicks * max(g.cfg.Tick, time.Millisecond) }
 
-func (g *Gateway) tick() {
-	g.timer(tickEvery, 0)
-	g.watch()
-	if g.cfg.AskList && g.now >= g.askAt {
-		g.ask()
-	}
-}
-
 // Engine view and health.
 
 // ask subscribes to the engine list. Renewing well inside the rule's time keeps the list from being
@@ -339,7 +318,7 @@
 func (g *Gateway) reset(e *engine, info *EngineInfo) {
 	k := g.kinds[info.Kind]
 	if k == nil {
-		k = g.newKind()
+		k = &kind{cores: 1, weights: g.newWeights()}
 		g.kinds[info.Kind] = k
 	}
 	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(), 0, 0, 0, 0
@@ -385,20 +364,19 @@
 }
 
 func (g *Gateway) probed(ev *Event) {
-	e := g.engines[ev.Engine]
-	if e == nil || !e.probing {
-		return
-	}
-	e.probing = false
-	if ev.Outcome == OK {
-		e.trial = true
-	} else {
-		g.shun(e)
+	if e := g.engines[ev.Engine]; e != nil && e.probing {
+		if e.probing, e.trial = false, ev.Outcome == OK; !e.trial {
+			g.shun(e)
+		}
 	}
 }
 
 // watch looks at what is running: silent engines, overdue queries, the fleet's median slowness.
 func (g *Gateway) watch() {
+	g.timer(tickEvery, 0)
+	if g.cfg.AskList && g.now >= g.askAt {
+		g.ask()
+	}
 	g.scratch = g.scratch[:0]
 	sick, all := 0, 0
 	for _, e := range g.list {
@@ -409,7 +387,8 @@
 			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
 			if age > a.late*a.est && !a.cancelled {
 				e.slow += slowGain * math.Max(0, math.Log(a.late)+math.Log(a.est/(a.base))-e.slow)
-				e.latency += latencyGain * math.Max(0, math.Min(math.Log(a.late*a.est/a.base), 2*math.Log(robustRatio))-e.latency)
+				seen := math.Min(math.Log(a.late*a.est/a.base), 2*math.Log(robustRatio))
+				e.latency += latencyGain * math.Max(0, seen-e.latency)
 				a.late *= lateRatio
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
@@ -422,7 +401,11 @@
 		all++
 		if silent >= silentCount && !e.sick {
 			g.shun(e)
-			g.rescue(e)
+			for _, a := range e.running { // what may lawfully run elsewhere is called off
+				if !a.q.done && a.q.c.Effect != Unsafe && g.mayTryAgain(a.q) {
+					g.cancel(a)
+				}
+			}
 		}
 		if e.sick {
 			sick++
@@ -444,15 +427,6 @@
 	}
 }
 
-// rescue calls off what runs on a silent engine and may lawfully run elsewhere.
-func (g *Gateway) rescue(e *engine) {
-	for _, a := range e.running {
-		if !a.q.done && a.q.c.Effect != Unsafe && g.mayTryAgain(a.q) {
-			g.cancel(a)
-		}
-	}
-}
-
 func (g *Gateway) decay(e *engine) {
 	e.slow *= math.Exp2(-(g.now - e.slowAt).Seconds() / slowHalfLife.Seconds())
 	e.slowAt = g.now
@@ -488,11 +462,10 @@
 	return est
 }
 
-// accrue brings the integral of the mix up to now.
+// accrue brings the integral of an engine's mix up to now.
 func (g *Gateway) accrue(e *engine) {
-	dt := (g.now - e.areaAt).Seconds()
 	for j, n := range e.count {
-		e.area[j] += n * dt
+		e.area[j] += n * (g.now - e.areaAt).Seconds()
 	}
 	e.areaAt = g.now
 }
@@ -580,12 +553,12 @@
 		k.line = append(k.line, q)
 		q.key = k
 	}
+	g.hold(q)
 	if ev.TimeLeft <= g.expiry() {
 		g.finish(q)
-		return
+	} else {
+		g.timer(ev.TimeLeft-g.expiry(), uint64(q.id)+1)
 	}
-	g.timer(ev.TimeLeft-g.expiry(), uint64(q.id)+1)
-	g.hold(q)
 }
 
 // timeLeft is the time an estimate must fit in, in seconds: until the client gives up, less a margin
@@ -596,21 +569,12 @@
 	return math.Min(left, aim)
 }
 
-// verdict is what choose finds for a query.
-type verdict int
-
-const (
-	refuse verdict = iota
-	wait
-	place
-)
-
 // choose picks the engine with the lowest estimate that fits the time left; an engine holding none of
-// ours comes first. Engines in blocked keep their room for queries with earlier deadlines.
-func (g *Gateway) choose(q *query, blocked map[*engine]bool) (*engine, verdict) {
-	var best *engine
+// ours comes first. Engines in blocked keep their room for queries with earlier deadlines. Where there
+// is no engine, wait tells whether the query may be held or is to be refused.
+func (g *Gateway) choose(q *query, blocked map[*engine]bool) (best *engine, wait bool) {
 	var bestCost float64
-	bestIdle, usable, mayWait := false, false, false
+	var bestIdle, usable bool
 	left := g.timeLeft(q)
 	for _, e := range g.list {
 		if !g.mayUse(q, e) {
@@ -620,7 +584,7 @@
 			continue
 		}
 		if e == q.avoid && len(g.list) > 1 {
-			mayWait = true
+			wait = true
 			continue
 		}
 		usable = true
@@ -629,7 +593,7 @@
 		if est > left && (!idle || left <= 0 && q.c.LateValue == 0) {
 			continue
 		}
-		mayWait = true
+		wait = true
 		if blocked[e] || g.bound(e) {
 			blocked[e] = true
 			continue
@@ -645,13 +609,7 @@
 			best, bestCost, bestIdle = e, cost, idle
 		}
 	}
-	switch {
-	case best != nil:
-		return best, place
-	case mayWait && !q.over, !usable && g.base(q) <= left:
-		return nil, wait
-	}
-	return nil, refuse
+	return best, wait && !q.over || !usable && g.base(q) <= left
 }
 
 // Thread bound and hold queue.
@@ -662,10 +620,8 @@
 // Danger: latency shows pressure late, and while other engines are bound, all queries pour into one that
 // looks calm. So an engine filled with boundMost times our part of its cores is under pressure as well.
 func (g *Gateway) bound(e *engine) bool {
-	if e.threads >= math.Max(boundMost*g.boundStart(e), e.bound) {
-		return true
-	}
-	return (e.latency > math.Log(pressureRatio) || g.now < e.full) && e.threads >= e.bound
+	pressed := e.latency > math.Log(pressureRatio) || g.now < e.full || e.threads >= boundMost*g.boundStart(e)
+	return pressed && e.threads >= e.bound
 }
 
 // adapt widens the bound near the best latency and cuts it as latency grows.
@@ -678,7 +634,7 @@
 			e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, math.Max(boundCores*e.kind.cores, 1))
 		}
 	case latency > pressureRatio && g.now > e.cutAt:
-		e.bound = math.Max(math.Max(1, boundLeast*g.boundStart(e)), math.Min(e.bound, e.threads+c.threads)*boundCut)
+		e.bound = math.Max(g.boundStart(e), math.Min(e.bound, e.threads+c.threads)*boundCut)
 		e.cutAt = g.now + time.Duration(took*float64(time.Second))
 	}
 }
@@ -706,22 +662,17 @@
 			continue
 		}
 		q.held = false
-		if !g.mayTryAgain(q) {
-			g.finish(q)
-			continue
-		}
+		var e *engine
+		wait := false
 		if !g.hasTurn(q) {
-			if g.base(q) > g.timeLeft(q) {
-				g.finish(q)
-			} else {
-				g.hold(q)
-			}
-			continue
+			wait = g.base(q) <= g.timeLeft(q)
+		} else if g.mayTryAgain(q) {
+			e, wait = g.choose(q, blocked)
 		}
-		switch e, v := g.choose(q, blocked); v {
-		case place:
+		switch {
+		case e != nil:
 			g.send(q, e)
-		case wait:
+		case wait && g.mayTryAgain(q):
 			g.hold(q)
 		default:
 			g.finish(q)
@@ -753,12 +704,9 @@
 		g.taken, g.further = g.taken[:0], g.further[:0]
 		return true
 	}
-	for len(g.taken) > 0 && g.taken[0] <= g.now-r.BudgetLookBack+g.expiry() {
-		g.taken = g.taken[1:]
-	}
-	for len(g.further) > 0 && g.further[0] < g.now-r.BudgetLookBack-g.expiry() {
-		g.further = g.further[1:]
-	}
+	from := g.now - r.BudgetLookBack
+	g.taken = slices.DeleteFunc(g.taken, func(at time.Duration) bool { return at <= from+g.expiry() })
+	g.further = slices.DeleteFunc(g.further, func(at time.Duration) bool { return at < from-g.expiry() })
 	return float64(len(g.further)+1) <= r.BudgetFree+r.BudgetShare*float64(len(g.taken))
 }
 
@@ -772,7 +720,8 @@
 // (rule 3), cold engines (rule 4) and placement (rule 6).
 func (g *Gateway) mayUse(q *query, e *engine) bool {
 	c := q.c
-	if !e.known || len(c.Kinds) > 0 && !slices.Contains(c.Kinds, e.Kind) || len(c.Zones) > 0 && !slices.Contains(c.Zones, e.Zone) {
+	if !e.known || len(c.Kinds) > 0 && !slices.Contains(c.Kinds, e.Kind) ||
+		len(c.Zones) > 0 && !slices.Contains(c.Zones, e.Zone) {
 		return false
 	}
 	if d := q.doubt; d != nil && c.Effect == Keyed && c.Scope != ScopeAll && d.e != e {
@@ -790,9 +739,8 @@
 		e.coldSent = e.coldSent[:0]
 		return true
 	}
-	for len(e.coldSent) > 0 && e.coldSent[0].at < g.now-r.ColdWindow-g.expiry() {
-		e.coldSent = e.coldSent[1:]
-	}
+	from := g.now - r.ColdWindow - g.expiry()
+	e.coldSent = slices.DeleteFunc(e.coldSent, func(s spent) bool { return s.at < from })
 	sum := work
 	for _, s := range e.coldSent {
 		sum += s.work
@@ -825,7 +773,7 @@
 	if g.warmth(e) < 1 {
 		e.coldSent = append(e.coldSent, spent{g.now, q.c.work})
 	}
-	g.attempts[attemptKey{q.id, a.trial}] = a
+	g.attempts[[2]uint64{uint64(q.id), uint64(a.trial)}] = a
 }
 
 func (g *Gateway) cancel(a *attempt) {
@@ -845,7 +793,7 @@
 	if q.c.Effect == Safe || !ran || q.c.Effect == Keyed && q.c.Scope == ScopeAll {
 		a := Action{Type: Refuse, Query: q.id}
 		if g.cfg.MayComeBack {
-			a.Wait = time.Duration(comeBackIn * float64(g.cfg.MaxComeBack))
+			a.Wait = g.cfg.MaxComeBack // refused work that comes back soon keeps an overload alive
 		}
 		g.do(a)
 	} else {
@@ -870,7 +818,7 @@
 }
 
 func (g *Gateway) attemptDone(ev *Event) {
-	at := attemptKey{ev.Query, ev.Attempt}
+	at := [2]uint64{uint64(ev.Query), uint64(ev.Attempt)}
 	a := g.attempts[at]
 	if a == nil {
 		return
@@ -880,8 +828,8 @@
 	g.accrue(e)
 	e.count[q.c.index]--
 	e.threads -= q.c.threads
-	e.running = without(e.running, a)
-	q.out = without(q.out, a)
+	same := func(v *attempt) bool { return v == a }
+	e.running, q.out = slices.DeleteFunc(e.running, same), slices.DeleteFunc(q.out, same)
 	if q.key != nil {
 		q.key.running--
 		if ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled {
@@ -907,25 +855,19 @@
 	if ev.Finished && !q.done {
 		g.forget(q)
 	}
-	if q.done || len(q.out) > 0 || q.held {
-		return
-	}
-	q.avoid = e
-	if ev.Outcome == Moot || !g.mayTryAgain(q) {
+	switch q.avoid = e; {
+	case q.done || len(q.out) > 0 || q.held:
+	case ev.Outcome == Moot || !g.mayTryAgain(q):
 		g.finish(q)
-		return
+	default:
+		g.hold(q)
 	}
-	g.hold(q)
-}
-
-func without(list []*attempt, a *attempt) []*attempt {
-	return slices.DeleteFunc(list, func(v *attempt) bool { return v == a })
 }
 
 // progress reads a note on a running attempt. A bad plan is drawn anew for each attempt, so one that is
 // far behind is called off where a fresh run should end well before it.
 func (g *Gateway) progress(ev *Event) {
-	a := g.attempts[attemptKey{ev.Query, ev.Attempt}]
+	a := g.attempts[[2]uint64{uint64(ev.Query), uint64(ev.Attempt)}]
 	if a == nil {
 		return
 	}
@@ -951,13 +893,15 @@
 
 // terms names memory and priority for the attempt about to be sent, where the settings heed them.
 func (g *Gateway) terms(a *attempt) {
-	if !g.cfg.TakesGrants && !g.cfg.TakesPriority {
-		return
-	}
 	q := a.q
-	t := Action{Type: SetTerms, Query: q.id, Priority: q.c.rank}
-	if g.cfg.TakesPriority {
-		t.Priority = g.priority(q)
+	t := Action{Type: SetTerms, Query: q.id, Priority: 1}
+	if g.cfg.TakesPriority { // classes rank by worth for each second of work
+		t.Priority = topRank
+		for _, c := range g.order {
+			if c.Worth/c.work > q.c.Worth/q.c.work {
+				t.Priority = max(t.Priority-1, 1)
+			}
+		}
 	}
 	most := g.cfg.MaxGrantShare * a.e.kind.memory
 	switch {
@@ -970,30 +914,18 @@
 			t.MemoryMB = math.Min(t.MemoryMB, most)
 		}
 	}
-	a.grant = t.MemoryMB
-	g.do(t)
-}
-
-// priority ranks classes by worth for each second of work.
-func (g *Gateway) priority(q *query) int {
-	rank := topRank
-	for _, c := range g.order {
-		if c.Worth/c.work > q.c.Worth/q.c.work {
-			rank--
-		}
+	if a.grant = t.MemoryMB; g.cfg.TakesGrants || g.cfg.TakesPriority {
+		g.do(t)
 	}
-	return max(rank, 1)
 }
 
 // memoryKnown steers a class's grant so that few of its queries spill.
 func (g *Gateway) memoryKnown(a *attempt, needed float64) {
-	if a.grant <= 0 || a.q.memory <= 0 {
-		return
-	}
-	c := a.q.c
-	if a.spilled || needed > a.grant {
-		c.grant *= 1 + grantUp
-	} else {
-		c.grant *= 1 - grantDown
+	switch {
+	case a.grant <= 0 || a.q.memory <= 0:
+	case a.spilled || needed > a.grant:
+		a.q.c.grant *= 1 + grantUp
+	default:
+		a.q.c.grant *= 1 - grantDown
 	}
 }
