--- a/gateway.go
+++ b/gateway.go
@@ -57,8 +57,6 @@
 	grantStart   = 1.25 // memory granted over the estimate, adapted by class
 	grantUp      = 0.06
 	grantDown    = 0.01
-	homes        = 3   // engines that are home to a group of tables
-	homeGain     = 0.5 // an estimate counts as this much less at home
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
 	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
 	askRetry     = 500 * time.Millisecond
@@ -606,10 +604,6 @@
 		}
 		// Danger: while weights are small all estimates are alike, and the engine that looks fastest
 		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
-		home := g.home(q.tables, e)
-		if home {
-			est *= 1 - homeGain
-		}
 		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
 		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
 			best, bestCost, bestIdle = e, cost, idle
@@ -618,30 +612,6 @@
 	return best, wait && !q.over || !usable && g.base(q) <= left
 }
 
-// home reports whether an engine is among the homes of a group of tables: the first few in an order drawn
-// from the group and the engines' addresses alone, so that all gateways agree on it without a word.
-// Danger: an engine keeps few groups warm, and where every engine reads every group, all reading is cold.
-func (g *Gateway) home(tables float64, e *engine) bool {
-	mine, ahead := affinity(tables, e.ID), 0
-	for _, o := range g.list {
-		if o.known && !o.sick && o != e && affinity(tables, o.ID) > mine {
-			ahead++
-		}
-	}
-	return ahead < homes
-}
-
-// affinity is a hash (FNV-1a, mixed once more) of a table group and an engine.
-func affinity(tables float64, id EngineID) uint64 {
-	h := uint64(14695981039346656037) ^ math.Float64bits(tables)
-	for i := range len(id) {
-		h = (h ^ uint64(id[i])) * 1099511628211
-	}
-	h ^= h >> 33
-	h *= 0xff51afd7ed558ccd
-	return h ^ h>>33
-}
-
 // Thread bound and hold queue.
 
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
