No widening while most engines are under pressure

Cause: engines that looked calm for a moment were widened and flooded while the whole fleet was overloaded. It covers any overload of the whole fleet; it may hurt where most engines are slow at once for another reason and one is truly free.

--- a/gateway.go
+++ b/gateway.go
@@ -174,6 +174,7 @@
 	gateways float64
 	median   float64 // log of the fleet's median slowness
 	sickAll  bool    // so many engines look sick that it is not the engines
+	pressed  bool    // most engines are under pressure: a calm one is no room to widen into
 	started  bool
 
 	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
@@ -378,7 +379,7 @@
 		g.ask()
 	}
 	g.scratch = g.scratch[:0]
-	sick, all := 0, 0
+	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
 		g.decay(e)
 		silent := 0
@@ -398,7 +399,9 @@
 		if !e.known {
 			continue
 		}
-		all++
+		if all++; e.latency > math.Log(pressureRatio) {
+			pressed++
+		}
 		if silent >= silentCount && !e.sick {
 			g.shun(e)
 			for _, a := range e.running { // what may lawfully run elsewhere is called off
@@ -421,7 +424,7 @@
 		}
 	}
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
-	g.sickAll = sick*2 > all
+	g.sickAll, g.pressed = sick*2 > all, pressed*2 > all
 	if sort.Float64s(g.scratch); len(g.scratch) > 0 {
 		g.median = g.scratch[len(g.scratch)/2]
 	}
@@ -629,7 +632,7 @@
 	e.latency += latencyGain * (ratio - e.latency)
 	latency := math.Exp(e.latency)
 	switch {
-	case latency < calmRatio:
+	case latency < calmRatio && !g.pressed:
 		if e.threads >= boundUsed*e.bound { // a bound that is not felt needs no widening
 			e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, math.Max(boundCores*e.kind.cores, 1))
 		}
