In an overload long queries need a wider margin

Cause: in overloads a few queries many times their class's mean took the room of many that earn as much each. A third of the engines under pressure counts as overload; the margin grows with the square of the told size over 0.7 of the class's mean. Covers heavy tails that the estimates show; it may hurt where worth goes by work, or where estimates scatter so widely that they tell nothing.

--- a/gateway.go
+++ b/gateway.go
@@ -35,6 +35,7 @@
 	boundCores    = 1.5 // ...unless calm outcomes have widened it further, to this many threads a core
 	boundUsed     = 0.5 // it widens only while this share of it is in use
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
+	pressedOf     = 3   // one engine in this many under pressure is an overload of the fleet
 	fullPressure  = time.Second
 
 	failGain    = 0.2 // gain of an engine's share of failed attempts
@@ -57,6 +58,8 @@
 	grantStart   = 1.25 // memory granted over the estimate, adapted by class
 	grantUp      = 0.06
 	grantDown    = 0.01
+	marginIdle   = 2.0 // a query with a wider margin than this has no claim to an idle engine
+	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
 	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
 	askRetry     = 500 * time.Millisecond
@@ -140,6 +143,7 @@
 	doubt    *attempt // earliest attempt that may have run
 
 	tries, kills int
+	told         bool // its cost was estimated
 	held, done   bool
 }
 
@@ -174,7 +178,7 @@
 	gateways float64
 	median   float64 // log of the fleet's median slowness
 	sickAll  bool    // so many engines look sick that it is not the engines
-	pressed  bool    // most engines are under pressure: a calm one is no room to widen into
+	pressed  bool    // many engines are under pressure: a calm one is no room to widen into
 	started  bool
 
 	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
@@ -424,7 +428,7 @@
 		}
 	}
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
-	g.sickAll, g.pressed = sick*2 > all, pressed*2 > all
+	g.sickAll, g.pressed = sick*2 > all, pressed*pressedOf > all
 	if sort.Float64s(g.scratch); len(g.scratch) > 0 {
 		g.median = g.scratch[len(g.scratch)/2]
 	}
@@ -528,7 +532,7 @@
 	q := &query{id: ev.Query, c: c, tables: ev.Tables, taken: g.now, deadline: g.now + ev.TimeLeft,
 		memory: ev.MemoryMB, unit: c.Aim.Seconds()}
 	if ev.HasCost && ev.Cost > 0 {
-		q.unit = ev.Cost.Seconds() / c.threads
+		q.unit, q.told = ev.Cost.Seconds()/c.threads, true
 	}
 	// Danger: a refused client comes again, its aim counts from its first try, and work for answers that can
 	// earn nothing keeps an overload alive. A shorter wait than first tries have tells what has passed.
@@ -579,6 +583,12 @@
 	var bestCost float64
 	var bestIdle, usable bool
 	left := g.timeLeft(q)
+	margin := 1.0
+	if g.pressed && q.told {
+		// Danger: in an overload a few very long queries take the room of many; each earns no more than one.
+		size := g.base(q) * q.c.threads / q.c.work
+		margin = math.Pow(math.Max(1, size/sizeFair), 2)
+	}
 	for _, e := range g.list {
 		if !g.mayUse(q, e) {
 			continue
@@ -593,7 +603,7 @@
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est > left && (!idle || left <= 0 && q.c.LateValue == 0) {
+		if est*margin > left && (!idle || margin > marginIdle || left <= 0 && q.c.LateValue == 0) {
 			continue
 		}
 		wait = true
