--- a/gateway.go
+++ b/gateway.go
@@ -71,8 +71,8 @@
 	index   int
 	threads float64
 	loads   bool
-	scale   float64 // unloaded time over the told estimate (or over the aim where none is told)
-	seen    float64
+	scale   float64       // unloaded time over the told estimate (or over the aim where none is told)
+	seen    float64       // outcomes that have corrected it
 	work    float64       // mean work of a query, in thread seconds
 	grant   float64       // memory granted over the told estimate
 	wait    time.Duration // longest wait of a try seen
@@ -88,17 +88,13 @@
 	kind    *kind
 	known   bool // on the present list and neither draining nor gone
 	own     [][]float64
-	count   []float64 // running queries of this gateway per class
-	area    []float64 // their integral over time, in query seconds
-	areaAt  time.Duration
 	running []*attempt
-	threads float64
-	slow    float64 // log of the fast-moving slowness
-	slowAt  time.Duration
-	latency float64 // log of the recent latency over best
-	bound   float64 // threads this gateway may run here under pressure
-	cutAt   time.Duration
-	full    time.Duration // under pressure until then: it turned work away
+
+	count, area           []float64     // this gateway's running queries per class; their integral in seconds
+	threads, bound        float64       // threads running; threads this gateway may run under pressure
+	slow, latency         float64       // logs: fast-moving slowness; recent latency over best
+	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
+	full                  time.Duration // under pressure until then: it turned work away
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -128,23 +124,18 @@
 }
 
 type query struct {
-	id       QueryID
-	c        *class
-	tables   float64
-	key      *orderKey
-	over     bool // beyond its tenant's share
-	deadline time.Duration
-	taken    time.Duration
-	waited   time.Duration // what the client had waited in earlier tries
-	unit     float64       // told estimate over threads, or the aim, in seconds
-	memory   float64
-	out      []*attempt
-	avoid    *engine  // where its last attempt ended
-	doubt    *attempt // earliest attempt that may have run
-
-	tries, kills int
-	told         bool // its cost was estimated
-	held, done   bool
+	id     QueryID
+	c      *class
+	tables float64
+	key    *orderKey
+	out    []*attempt
+	avoid  *engine  // where its last attempt ended
+	doubt  *attempt // earliest attempt that may have run
+
+	deadline, taken, waited time.Duration // waited: what the client had waited in earlier tries
+	unit, memory            float64       // told estimate over threads, or the aim, in seconds; told MB
+	tries, kills            int
+	over, told, held, done  bool // over: beyond its tenant's share; told: its cost was estimated
 }
 
 type orderKey struct {
@@ -175,13 +166,11 @@
 	tenants  map[string]*bucket
 	scratch  []float64
 	askAt    time.Duration
-	gateways float64
-	median   float64 // log of the fleet's median slowness
-	sickAll  bool    // so many engines look sick that it is not the engines
-	pressed  bool    // many engines are under pressure: a calm one is no room to widen into
 	started  bool
 
-	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
+	gateways, median float64         // log of the fleet's median slowness
+	sickAll, pressed bool            // so many engines are that it is the fleet
+	taken, further   []time.Duration // times of queries taken and of further attempts (rule 7)
 }
 
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
@@ -194,29 +183,18 @@
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{},
 		gateways: math.Max(1, float64(cfg.Gateways))}
 	for i, c := range cfg.Classes {
-		k := &class{Class: c, index: i, threads: 1, scale: 1, grant: grantStart}
-		if len(cfg.ClassThreads) > 0 {
-			k.threads = cfg.ClassThreads[i]
-		}
-		k.loads = len(cfg.ClassLoads) > 0 && cfg.ClassLoads[i]
+		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
+		k.loads = told(cfg.ClassLoads, i, false)
 		k.work = c.Aim.Seconds() * k.threads
 		g.classes[c.Name] = k
 		g.order = append(g.order, k)
 	}
 	for i, name := range cfg.KindNames {
-		k := &kind{cores: 1, weights: g.newWeights()}
-		if len(cfg.KindCores) > 0 {
-			k.cores = cfg.KindCores[i]
-		}
-		if len(cfg.KindMemoryMB) > 0 {
-			k.memory = cfg.KindMemoryMB[i]
-		}
-		g.kinds[name] = k
+		g.kinds[name] = &kind{cores: told(cfg.KindCores, i, 1), memory: told(cfg.KindMemoryMB, i, 0),
+			weights: g.newWeights()}
 	}
 	for _, t := range cfg.Tenants {
-		if rate := t.Quota / g.gateways; rate > 0 {
-			g.tenants[t.Name] = &bucket{level: rate * quotaBurst, rate: rate}
-		}
+		g.tenants[t.Name] = &bucket{level: t.Quota / g.gateways * quotaBurst, rate: t.Quota / g.gateways}
 	}
 	return g, nil
 }
@@ -235,10 +213,7 @@
 	g.now, g.out = max(now, g.now), actions
 	if !g.started {
 		g.started = true
-		g.timer(tickEvery, 0)
-		if g.cfg.AskList {
-			g.ask()
-		}
+		g.watch()
 	}
 	for i := range events {
 		g.take(&events[i])
@@ -544,7 +519,7 @@
 	c.work += meanGain * (q.unit*math.Max(1, c.scale)*c.threads - c.work)
 	g.queries[q.id] = q
 	g.taken = append(g.taken, g.now)
-	if b := g.tenants[ev.Tenant]; b != nil {
+	if b := g.tenants[ev.Tenant]; b != nil && b.rate > 0 {
 		b.level = math.Min(b.rate*quotaBurst, b.level+b.rate*(g.now-b.at).Seconds())
 		b.at = g.now
 		if q.over = b.level < 1; !q.over {
@@ -612,7 +587,7 @@
 			continue
 		}
 		weight := failWeight
-		if q.c.Effect == Unsafe {
+		if q.c.Effect == Unsafe { // a failure would be its last
 			weight = failFinal
 		}
 		// Danger: while weights are small all estimates are alike, and the engine that looks fastest
@@ -664,9 +639,6 @@
 // release lets held queries leave, earliest deadline first, and refuses those whose estimate no longer
 // fits. Newcomers pass through here too, so nothing overtakes an earlier deadline.
 func (g *Gateway) release() {
-	if len(g.held) == 0 {
-		return
-	}
 	blocked := map[*engine]bool{}
 	line := g.held
 	g.held = nil
@@ -802,16 +774,15 @@
 	if q.done {
 		return
 	}
+	answer := Action{Type: Fail, Query: q.id}
 	ran := q.doubt != nil || len(q.out) > 0
 	if q.c.Effect == Safe || !ran || q.c.Effect == Keyed && q.c.Scope == ScopeAll {
-		a := Action{Type: Refuse, Query: q.id}
+		answer.Type = Refuse
 		if g.cfg.MayComeBack {
-			a.Wait = g.cfg.MaxComeBack // refused work that comes back soon keeps an overload alive
+			answer.Wait = g.cfg.MaxComeBack // refused work that comes back soon keeps an overload alive
 		}
-		g.do(a)
-	} else {
-		g.do(Action{Type: Fail, Query: q.id})
 	}
+	g.do(answer)
 	for _, a := range q.out {
 		g.cancel(a)
 	}
@@ -884,18 +855,15 @@
 	if a == nil {
 		return
 	}
-	a.e.heard = g.now
-	switch ev.Note {
+	switch a.e.heard = g.now; ev.Note {
 	case NoteSpills:
 		a.spilled = true
 	case NoteShareDone:
 		q := a.q
 		ran := (g.now - a.at).Seconds()
 		total := ran / math.Max(ev.Value, 1e-3)
-		if q.done || a.cancelled || q.c.Effect != Safe || q.kills >= killsMost || !g.mayTryAgain(q) {
-			return
-		}
-		if total > killRatio*a.est && total-ran > killGain*a.est {
+		lawful := !q.done && !a.cancelled && q.c.Effect == Safe && q.kills < killsMost && g.mayTryAgain(q)
+		if lawful && total > killRatio*a.est && total-ran > killGain*a.est {
 			q.kills++
 			g.cancel(a)
 		}
--- /dev/null
+++ b/gateway_test.go
@@ -0,0 +1,206 @@
+package cresspass
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// plainConfig has one safe class with estimates and one kind, and no optional rule.
+func plainConfig() Config {
+	return Config{Gateways: 2, Tick: 5 * ms, MayCancel: true, ProgressEvery: 2 * time.Second, MaxAttempts: 4,
+		Classes:   []Class{{Name: "short", Aim: 2 * time.Second, AimStretch: 1, Deadline: 10 * time.Second, Worth: 1}},
+		KindNames: []string{"std"}, KindCores: []float64{8}}
+}
+
+func TestNewNamesTheBadSetting(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(*Config)
+	}{
+		{"no class", func(c *Config) { c.Classes = nil }},
+		{"zero deadline", func(c *Config) { c.Classes[0].Deadline = 0 }},
+		{"unequal lists", func(c *Config) { c.KindCores = []float64{8, 8} }},
+		{"NaN", func(c *Config) { c.KindCores[0] = math.NaN() }},
+		{"no cores", func(c *Config) { c.KindCores[0] = 0 }},
+	} {
+		cfg := plainConfig()
+		c.spoil(&cfg)
+		if _, err := New(cfg); err == nil {
+			t.Errorf("%s: no error", c.name)
+		}
+	}
+}
+
+func TestIdleEngineTakesTheNext(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"), std("e2"), std("e3"))
+	used := map[EngineID]bool{}
+	for id := range QueryID(3) {
+		want(t, b.ask(id+1, "short", ""), Send)
+		used[b.last[0].Engine] = true
+	}
+	if len(used) != 3 {
+		t.Errorf("three queries went to %d engines", len(used))
+	}
+}
+
+// TestNearTiesSpread: while all weights are zero, estimates are alike; queries must spread all the same.
+func TestNearTiesSpread(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"), std("e2"))
+	b.g.engines["e2"].slow = 0.1
+	for id := range QueryID(6) {
+		b.ask(id+1, "short", "")
+	}
+	if n1, n2 := b.g.engines["e1"].threads, b.g.engines["e2"].threads; n1 != 3 || n2 != 3 {
+		t.Errorf("threads %v and %v, want 3 and 3", n1, n2)
+	}
+}
+
+func TestWeightsLearnFromTheMix(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"), std("e2"))
+	b.g.engines["e2"].known = false
+	for i := range 200 {
+		id := QueryID(10 * (i + 1))
+		var sent []Action
+		for j := range QueryID(4) {
+			b.ask(id+j, "short", "")
+			sent = append(sent, b.last[0])
+		}
+		b.now += 600 * ms // three times the estimate, in company of four
+		for _, a := range sent {
+			b.at(0, ended(a, 0, OK, 600*ms))
+		}
+	}
+	if w := b.g.kinds["std"].weights[0][0]; w <= 0.1 {
+		t.Errorf("weight %v after 800 slow outcomes in company", w)
+	}
+}
+
+// TestOneRunawayDoesNotMoveTheFit: a bad plan says nothing of interference.
+func TestOneRunawayDoesNotMoveTheFit(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"))
+	b.ask(1, "short", "")
+	b.now += 8 * time.Second
+	b.at(0, ended(b.last[0], 0, OK, 8*time.Second))
+	if w := b.g.kinds["std"].weights[0][0]; w > 0.05 {
+		t.Errorf("one outcome of 40 times its base moved the weight to %v", w)
+	}
+}
+
+// TestTimeOutsStayOutOfTheFit: lost answers are evidence of health, not of interference.
+func TestTimeOutsStayOutOfTheFit(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"))
+	for id := range QueryID(20) {
+		if got := b.ask(id+1, "short", ""); len(got) == 1 && got[0].Type == Send {
+			b.at(0, ended(got[0], 0, TimedOut, 10*time.Second))
+		}
+	}
+	e := b.g.engines["e1"]
+	if w := e.kind.weights[0][0] + e.own[0][0]; w != 0 || e.slow != 0 {
+		t.Errorf("weight %v, slowness %v after time-outs alone", w, e.slow)
+	}
+}
+
+// TestRestartedGatewayDoesNotFlood: an empty fit thinks everything fits; the capped bound must hold it.
+func TestRestartedGatewayDoesNotFlood(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"))
+	for id := range QueryID(100) {
+		b.ask(id+1, "short", "")
+	}
+	if n, most := b.g.engines["e1"].threads, boundMost*8/2; n > most {
+		t.Errorf("%v threads at once, want at most %v", n, most)
+	}
+}
+
+func TestHeldQueriesLeaveEarliestDeadlineFirst(t *testing.T) {
+	cfg := plainConfig()
+	cfg.Classes = append(cfg.Classes, Class{Name: "long", Aim: 9 * time.Second, Deadline: 30 * time.Second})
+	b := newBench(t, cfg)
+	b.ask(1, "long", "")
+	b.ask(2, "short", "")
+	got := b.at(ms, Event{Type: EngineList, Listing: ListFull, Engines: []EngineInfo{std("e1")}})
+	want(t, got, Send, Send)
+	if got[0].Query != 2 {
+		t.Errorf("query %d left first", got[0].Query)
+	}
+}
+
+// TestLateRepeatsAreRefused: a client's later try whose aim has passed only keeps an overload alive.
+func TestLateRepeatsAreRefused(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"))
+	want(t, b.ask(1, "short", ""), Send)
+	want(t, b.at(ms, Event{Type: QueryTaken, Query: 2, Class: "short", TimeLeft: 5 * time.Second,
+		HasCost: true, Cost: 200 * ms}), Refuse)
+}
+
+// TestLongQueriesYieldInAnOverload: one very long query earns no more than one of the many it displaces.
+func TestLongQueriesYieldInAnOverload(t *testing.T) {
+	for _, overload := range []bool{false, true} {
+		b := newBench(t, plainConfig(), std("e1"))
+		for id := range QueryID(60) { // settles the class's mean work
+			b.ask(id+1, "short", "")
+			b.at(0, ended(b.last[0], 0, OK, 200*ms))
+		}
+		b.g.pressed = overload
+		got := b.at(ms, Event{Type: QueryTaken, Query: 99, Class: "short", TimeLeft: 10 * time.Second,
+			HasCost: true, Cost: 3 * time.Second})
+		if overload {
+			want(t, got, Refuse)
+		} else {
+			want(t, got, Send)
+		}
+	}
+}
+
+// TestBadPlanIsCalledOff: a note shows an attempt far behind, and a fresh one draws its plan anew.
+func TestBadPlanIsCalledOff(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"), std("e2"))
+	b.ask(1, "short", "")
+	first := b.last[0]
+	note := Event{Type: Progress, Query: 1, Engine: first.Engine, Note: NoteShareDone, Value: 0.1}
+	want(t, b.at(2*time.Second, note), Cancel)
+	want(t, b.at(ms, ended(first, 0, Cancelled, 2*time.Second)), Send)
+}
+
+// TestSilentEngineIsLeft: an engine that takes work and answers nothing gets no more, and its queries move.
+func TestSilentEngineIsLeft(t *testing.T) {
+	b := newBench(t, plainConfig(), std("e1"), std("e2"))
+	for id := range QueryID(4) {
+		b.ask(id+1, "short", "")
+	}
+	cancels := 0
+	for range 60 {
+		for _, a := range b.at(50*ms, Event{Type: TimerDue}) {
+			if a.Type == Cancel {
+				cancels++
+			}
+		}
+		if e := b.g.engines["e1"]; e.sick {
+			break
+		}
+	}
+	if !b.g.engines["e1"].sick || cancels < 2 {
+		t.Errorf("sick %v, %d attempts called off", b.g.engines["e1"].sick, cancels)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	play := func() []Action {
+		b := newBench(t, plainConfig(), std("e1"), std("e2"), std("e3"))
+		var all []Action
+		for id := range QueryID(50) {
+			all = append(all, b.ask(id+1, "short", "")...)
+			all = append(all, b.at(20*ms, Event{Type: TimerDue})...)
+		}
+		return all
+	}
+	first, second := play(), play()
+	if len(first) != len(second) {
+		t.Fatalf("%d actions, then %d", len(first), len(second))
+	}
+	for i := range first {
+		if first[i].Query != second[i].Query || first[i].Engine != second[i].Engine || first[i].Type != second[i].Type {
+			t.Fatalf("action %d: %+v, then %+v", i, first[i], second[i])
+		}
+	}
+}
--- a/types.go
+++ b/types.go
@@ -120,6 +120,14 @@
 	TellsCost     bool
 }
 
+// told returns value i of a list of settings, or the default where the list was not told.
+func told[T any](list []T, i int, otherwise T) T {
+	if len(list) == 0 {
+		return otherwise
+	}
+	return list[i]
+}
+
 // Validate returns an error naming the first setting that contradicts itself.
 func (c *Config) Validate() error {
 	if len(c.Classes) == 0 {
