--- a/gateway.go
+++ b/gateway.go
@@ -510,9 +510,10 @@
 		q.unit, q.told = ev.Cost.Seconds()/c.threads, true
 	}
 	// Danger: a refused client comes again, its aim counts from its first try, and work for answers that can
-	// earn nothing keeps an overload alive. A shorter wait than first tries have tells what has passed.
+	// earn nothing keeps an overload alive. The wait it has left tells what has passed, but only on a marked
+	// repeat: hurried clients give their first tries short waits too, and must not be refused for it.
 	c.wait = max(c.wait, ev.TimeLeft)
-	if float64(ev.TimeLeft) < firstTry*float64(c.wait) {
+	if ev.IsRepeat && float64(ev.TimeLeft) < firstTry*float64(c.wait) {
 		q.waited = max(0, c.Deadline-ev.TimeLeft)
 	}
 	q.unit = math.Max(q.unit, unitLeast*c.Aim.Seconds())
