--- a/gateway_test.go
+++ b/gateway_test.go
@@ -161,6 +161,27 @@
 	}
 }
 
+// TestOverShareWaitsUnlessOverloaded: this gateway's part of a quota is a guess where fronts are uneven, so a
+// query beyond it is refused only in an overload, else held like any other (Quebec, a rolling restart).
+func TestOverShareWaitsUnlessOverloaded(t *testing.T) {
+	for _, overload := range []bool{false, true} {
+		cfg := plainConfig()
+		cfg.Tenants = []Tenant{{Name: "t", Quota: 0.1}}
+		b := newBench(t, cfg, std("e1"))
+		for id := range QueryID(10) { // fills the engine up to the bound's cap
+			b.ask(id+1, "short", "")
+		}
+		b.g.pressed = overload
+		ev := Event{Type: QueryTaken, Query: 99, Class: "short", Tenant: "t", TimeLeft: 10 * time.Second,
+			HasCost: true, Cost: 100 * ms}
+		if got := b.at(0, ev); overload {
+			want(t, got, Refuse)
+		} else {
+			want(t, got)
+		}
+	}
+}
+
 // TestBadPlanIsCalledOff: a note shows an attempt far behind, and a fresh one draws its plan anew.
 func TestBadPlanIsCalledOff(t *testing.T) {
 	b := newBench(t, plainConfig(), std("e1"), std("e2"))
