--- a/gateway.go
+++ b/gateway.go
@@ -598,7 +598,7 @@
 			best, bestCost, bestIdle = e, cost, idle
 		}
 	}
-	// Danger: where fronts are uneven this gateway's part of a quota is a guess; it counts in an overload only.
+	// Danger: where fronts are uneven our part of a quota is a guess; it counts in an overload only.
 	return best, wait && !(q.over && g.pressed) || !usable && g.base(q) <= left
 }
 
--- a/rules_test.go
+++ b/rules_test.go
@@ -104,6 +104,13 @@
 	want(t, b.at(ms, ended(sent, 0, Reset, ms)))
 }
 
+func TestRule1NoTimeLeft(t *testing.T) {
+	b := newBench(t, testConfig(), std("e1"))
+	for i, left := range []time.Duration{0, -time.Second} {
+		want(t, b.at(0, Event{Type: QueryTaken, Query: QueryID(i + 1), Class: "short", TimeLeft: left}), Refuse)
+	}
+}
+
 func TestRule2Repeats(t *testing.T) {
 	for _, c := range []struct {
 		class   string
@@ -114,7 +121,7 @@
 		{"short", Reset, ms, Send}, {"short", Failed, 100 * ms, Send}, {"once", Full, ms, Send},
 		{"once", ConnectFailed, ms, Send}, {"once", Reset, ms, Fail}, {"once", Failed, ms, Fail},
 		{"once", TimedOut, ms, Fail}, {"load", Reset, ms, Send}, {"load", Reset, 3100 * ms, Refuse},
-		{"cell", Reset, 7 * time.Second, Fail},
+		{"cell", Reset, 7 * time.Second, Fail}, {"short", Moot, ms, Refuse},
 	} {
 		t.Run(fmt.Sprint(c.class, c.outcome, c.after), func(t *testing.T) {
 			b := newBench(t, testConfig(), std("e1"), std("e2"))
@@ -246,6 +253,7 @@
 	timers  []Event
 	due     []time.Duration
 	classes map[string]Class
+	cold    map[EngineID][]spent
 }
 
 func newChecker(t *testing.T, seed uint64) *checker {
@@ -267,6 +275,7 @@
 		c.t.Fatal(err)
 	}
 	c.g, c.queries, c.ids, c.order = g, map[QueryID]*tracked{}, nil, map[string][]QueryID{}
+	c.cold = map[EngineID][]spent{}
 	c.rest, c.taken, c.further, c.timers, c.due = map[string]time.Duration{}, nil, nil, nil, nil
 	c.deliver(c.list(ListCached))
 }
@@ -492,6 +501,18 @@
 	if e.State != EngineOn {
 		c.t.Errorf("rule 3: query %d sent to an engine in state %v", a.Query, e.State)
 	}
+	if r := &c.cfg.Rules; e.Started > 0 && c.now < e.Started+r.ColdFor {
+		c.cold[e.ID] = append(c.cold[e.ID], spent{c.now, c.g.classes[q.class.Name].work})
+		sum, cores := 0.0, map[string]float64{"std": 8, "big": 16}[e.Kind]
+		for _, s := range c.cold[e.ID] {
+			if s.at > c.now-r.ColdWindow {
+				sum += s.work
+			}
+		}
+		if sum > r.ColdMultiple*r.ColdFrom*cores*0.85*r.ColdWindow.Seconds()/float64(c.cfg.Gateways) {
+			c.t.Errorf("rule 4: %.1f s of work sent to a cold engine", sum)
+		}
+	}
 	if q.key != "" {
 		for _, id := range c.order[q.key] {
 			o := c.queries[id]
