--- a/gateway.go
+++ b/gateway.go
@@ -52,7 +52,7 @@
 
 	coldSlack    = 0.5  // part of the cold budget used, for chance and mistaken work
 	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
-	killRatio    = 2.5  // a projected run this many times over its base is a bad plan
+	killRatio    = 2.5  // a projected run this many times over its estimate is a bad plan
 	killGain     = 1.3  // what is left must exceed a fresh run's estimate by this ratio
 	killsMost    = 2    // a query that is long every time is just long
 	grantStart   = 1.25 // memory granted over the estimate, adapted by class
@@ -354,6 +354,7 @@
 // watch looks at what is running: silent engines, overdue queries, the fleet's median slowness.
 func (g *Gateway) watch() {
 	g.timer(tickEvery, 0)
+	g.budgetLeft() // forgets what has left its window, also while nothing is tried again
 	if g.cfg.AskList && g.now >= g.askAt {
 		g.ask()
 	}
@@ -366,9 +367,9 @@
 			age := (g.now - a.at).Seconds()
 			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
 			if age > a.late*a.est && !a.cancelled {
-				e.slow += slowGain * math.Max(0, math.Log(a.late)+math.Log(a.est/(a.base))-e.slow)
-				seen := math.Min(math.Log(a.late*a.est/a.base), 2*math.Log(robustRatio))
-				e.latency += latencyGain * math.Max(0, seen-e.latency)
+				seen := math.Log(a.late * a.est / a.base)
+				e.slow += slowGain * math.Max(0, seen-e.slow)
+				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
@@ -544,8 +545,8 @@
 	}
 }
 
-// timeLeft is the time an estimate must fit in, in seconds: until the client gives up, less a margin
-// for the part of the wait after the aim, in which an answer keeps only its late value.
+// timeLeft is the time an estimate must fit in, in seconds: until the client gives up, or until the aim,
+// where that comes first.
 func (g *Gateway) timeLeft(q *query) float64 {
 	left := (q.deadline - g.now - g.expiry()).Seconds()
 	aim := q.c.Aim.Seconds() + q.c.AimStretch*g.base(q) - (g.now - q.taken + q.waited).Seconds()
@@ -641,25 +642,27 @@
 // release lets held queries leave, earliest deadline first, and refuses those whose estimate no longer
 // fits. Newcomers pass through here too, so nothing overtakes an earlier deadline.
 func (g *Gateway) release() {
+	if len(g.held) == 0 {
+		return
+	}
 	blocked := map[*engine]bool{}
 	line := g.held
 	g.held = nil
 	for _, q := range line {
-		if q.done {
-			continue
-		}
 		q.held = false
 		var e *engine
 		wait := false
-		if !g.hasTurn(q) {
-			wait = g.base(q) <= g.timeLeft(q)
-		} else if g.mayTryAgain(q) {
+		switch {
+		case !g.mayTryAgain(q):
+		case g.hasTurn(q):
 			e, wait = g.choose(q, blocked)
+		default:
+			wait = g.base(q) <= g.timeLeft(q)
 		}
 		switch {
 		case e != nil:
 			g.send(q, e)
-		case wait && g.mayTryAgain(q):
+		case wait:
 			g.hold(q)
 		default:
 			g.finish(q)
