--- a/gateway.go
+++ b/gateway.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -61,6 +62,7 @@
 	marginIdle   = 2.0 // a query with a wider margin than this has no claim to an idle engine
 	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
+	tieSpread    = 0.1 // estimates this close, as a share, are alike: chance decides among them
 	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
 	askRetry     = 500 * time.Millisecond
 	topRank      = 3
@@ -165,6 +167,7 @@
 	keys     map[string]*orderKey
 	tenants  map[string]*bucket
 	scratch  []float64
+	random   *rand.Rand
 	askAt    time.Duration
 	started  bool
 
@@ -181,7 +184,8 @@
 	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
 		engines: map[EngineID]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{},
-		gateways: math.Max(1, float64(cfg.Gateways))}
+		gateways: math.Max(1, float64(cfg.Gateways)),
+		random:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
 		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
 		k.loads = told(cfg.ClassLoads, i, false)
@@ -595,6 +599,8 @@
 		// Danger: while weights are small all estimates are alike, and the engine that looks fastest
 		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
 		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
+		// Danger: many gateways with like views would all pick the same engine.
+		cost *= 1 + tieSpread*g.random.Float64()
 		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
 			best, bestCost, bestIdle = e, cost, idle
 		}
