Est decides again: a fleet-wide slowness, no free pass for idle engines, a bound on threads over all engines

Cause: nearly every engine holds none of ours at full size, so the time-left test was skipped, and bounds of one thread for each engine never bind. Now each outcome moves a fleet-wide slowness (half-life 8 s) of which an engine's own is a deviation, an unfitting query tries an idle engine only by a chance of 2%, our threads over all engines are bound under pressure, a full engine rests for a second, and the margin grows with slowness beyond the pressure ratio.

--- a/gateway.go
+++ b/gateway.go
@@ -24,6 +24,9 @@
 	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
 	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
 	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
+	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
+	trialShare   = 0.02 // part of the queries that try an engine holding none of ours though they don't fit
+	anchorLeast  = 0.1  // part of its gain a base keeps while the fleet is slow
 	slowHalfLife = 8 * time.Second
 	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
 	meanGain     = 0.05
@@ -36,7 +39,6 @@
 	boundCores    = 1.5 // ...unless calm outcomes have widened it further, to this many threads a core
 	boundUsed     = 0.5 // it widens only while this share of it is in use
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
-	pressedOf     = 3   // one engine in this many under pressure is an overload of the fleet
 	fullPressure  = time.Second
 
 	failGain    = 0.2 // gain of an engine's share of failed attempts
@@ -59,7 +61,6 @@
 	grantStart   = 1.25 // memory granted over the estimate, adapted by class
 	grantUp      = 0.06
 	grantDown    = 0.01
-	marginIdle   = 2.0 // a query with a wider margin than this has no claim to an idle engine
 	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
 	tieSpread    = 0.1 // estimates this close, as a share, are alike: chance decides among them
@@ -171,9 +172,14 @@
 	askAt    time.Duration
 	started  bool
 
-	gateways, median float64         // log of the fleet's median slowness
-	sickAll, pressed bool            // so many engines are that it is the fleet
-	taken, further   []time.Duration // times of queries taken and of further attempts (rule 7)
+	gateways       float64
+	fleet          float64         // log of the fleet's slowness, of which an engine's own is a deviation
+	threads, bound float64         // ours running on all engines, and what may run under pressure
+	cores          float64         // told cores of all engines on the list
+	cutAt          time.Duration   // when bound was last cut
+	sickAll        bool            // so many engines are sick that it is the fleet
+	pressed        bool            // the fleet is under pressure
+	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
 }
 
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
@@ -185,7 +191,7 @@
 		engines: map[EngineID]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
-		random:   rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
+		bound:    1, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
 		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
 		k.loads = told(cfg.ClassLoads, i, false)
@@ -296,6 +302,14 @@
 		e.EngineInfo = *info
 		e.known = info.State == EngineOn
 	}
+	before := g.boundStartAll()
+	g.cores = 0
+	for _, e := range g.list {
+		if e.known {
+			g.cores += e.kind.cores
+		}
+	}
+	g.bound *= g.boundStartAll() / before
 }
 
 // reset makes an engine as good as new: its own weights zero, so that its kind's average stands.
@@ -358,12 +372,12 @@
 // watch looks at what is running: silent engines, overdue queries, the fleet's median slowness.
 func (g *Gateway) watch() {
 	g.timer(tickEvery, 0)
+	g.fleet *= math.Exp2(-tickEvery.Seconds() / slowHalfLife.Seconds())
 	g.budgetLeft() // forgets what has left its window, also while nothing is tried again
 	if g.cfg.AskList && g.now >= g.askAt {
 		g.ask()
 	}
-	g.scratch = g.scratch[:0]
-	sick, pressed, all := 0, 0, 0
+	sick, all := 0, 0
 	for _, e := range g.list {
 		g.decay(e)
 		silent := 0
@@ -372,7 +386,9 @@
 			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
 			if age > a.late*a.est && !a.cancelled {
 				seen := math.Log(a.late * a.est / a.base)
-				e.slow += slowGain * math.Max(0, seen-e.slow)
+				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.fleet-e.slow)
+				e.slow += slowGain * miss
+				g.fleet += fleetGain * miss
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 			}
@@ -383,9 +399,7 @@
 		if !e.known {
 			continue
 		}
-		if all++; e.latency > math.Log(pressureRatio) {
-			pressed++
-		}
+		all++
 		if silent >= silentCount && !e.sick {
 			g.shun(e)
 			for _, a := range e.running { // what may lawfully run elsewhere is called off
@@ -403,15 +417,10 @@
 					e.trial = true
 				}
 			}
-		} else {
-			g.scratch = append(g.scratch, e.slow)
 		}
 	}
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
-	g.sickAll, g.pressed = sick*2 > all, pressed*pressedOf > all
-	if sort.Float64s(g.scratch); len(g.scratch) > 0 {
-		g.median = g.scratch[len(g.scratch)/2]
-	}
+	g.sickAll, g.pressed = sick*2 > all, g.fleet > math.Log(pressureRatio)
 }
 
 func (g *Gateway) decay(e *engine) {
@@ -436,7 +445,7 @@
 func (g *Gateway) estimate(q *query, e *engine) float64 {
 	i := q.c.index
 	e.count[i]++
-	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(e.slow) / g.warmth(e)
+	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(g.fleet+e.slow) / g.warmth(e)
 	e.count[i]--
 	if q.c.loads {
 		// Danger: a load stands still while another holds its tables there.
@@ -477,7 +486,7 @@
 	// Errors are taken in logarithms and clipped: queries are widely spread, and one runaway must not
 	// move the weights. Base and weights share the error, else they drift apart.
 	limit := math.Log(robustRatio)
-	miss := min(max(math.Log(seen/want)-e.slow+g.median, -limit), limit)
+	miss := min(max(math.Log(seen/want)-g.fleet-e.slow, -limit), limit)
 	used := 0.0
 	for j, v := range x {
 		threads := g.order[j].threads
@@ -489,11 +498,18 @@
 	}
 	g.scratch = x
 	// The base is the unloaded time, so only outcomes that met little of ours correct it.
+	// Danger: where many gateways share the engines, ours are few also in an overload, and the base would
+	// take the overload for normal; so it learns slowly while the fleet is slow.
 	if light := 1 - (used-c.threads)/g.boundStart(e); light > 0 {
+		gain := 1 / (c.seen + 2)
+		if gain < baseGain {
+			gain = baseGain * min(max(1-g.fleet/math.Log(calmRatio), anchorLeast), 1)
+		}
 		c.seen += light
-		c.scale *= math.Exp(light * max(baseGain, 1/(c.seen+2)) * miss)
+		c.scale *= math.Exp(light * gain * miss)
 	}
-	e.slow += slowGain * (min(max(math.Log(seen/want), -limit), limit) - e.slow)
+	e.slow += slowGain * miss
+	g.fleet += fleetGain * miss
 	g.adapt(e, c, min(max(math.Log(seen), -limit), 2*limit), took)
 }
 
@@ -564,6 +580,11 @@
 	var bestCost float64
 	var bestIdle, usable bool
 	left := g.timeLeft(q)
+	caution := 1.0
+	if g.pressed {
+		caution = math.Exp(g.fleet) / pressureRatio
+	}
+	try := g.random.Float64() < trialShare // now and then, so that a fit gone wrong is put right
 	margin := 1.0
 	if g.pressed && q.told {
 		// Danger: in an overload a few very long queries take the room of many; each earns no more than one.
@@ -584,11 +605,11 @@
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est*margin > left && (!idle || margin > marginIdle || left <= 0 && q.c.LateValue == 0) {
+		if est*margin*caution > left && !(idle && try && left > 0) {
 			continue
 		}
 		wait = true
-		if blocked[e] || g.bound(e) {
+		if full := g.pressed && g.threads >= g.bound; full || blocked[e] || g.bounded(e) {
 			blocked[e] = true
 			continue
 		}
@@ -611,14 +632,18 @@
 
 // Thread bound and hold queue.
 
+// boundStartAll is the bound on our threads over all engines: where engines have fewer cores than there are
+// gateways, bounds of one thread each sum to far more than an engine holds, and would never bind.
+func (g *Gateway) boundStartAll() float64 { return math.Max(1, g.cores/g.gateways) }
+
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
 
 // bound reports whether the thread bound keeps the next query from an engine: only under pressure.
 // Danger: latency shows pressure late, and while other engines are bound, all queries pour into one that
 // looks calm. So an engine filled with boundMost times our part of its cores is under pressure as well.
-func (g *Gateway) bound(e *engine) bool {
+func (g *Gateway) bounded(e *engine) bool {
 	pressed := e.latency > math.Log(pressureRatio) || g.now < e.full || e.threads >= boundMost*g.boundStart(e)
-	return pressed && e.threads >= e.bound
+	return pressed && e.threads >= e.bound || g.now < e.full && e.threads == 0
 }
 
 // adapt widens the bound near the best latency and cuts it as latency grows.
@@ -626,6 +651,15 @@
 	e.latency += latencyGain * (ratio - e.latency)
 	latency := math.Exp(e.latency)
 	switch {
+	case !g.pressed && g.fleet < math.Log(calmRatio):
+		if g.threads >= boundUsed*g.bound {
+			g.bound = math.Min(g.bound+boundStep*c.threads/g.bound, boundCores*g.cores)
+		}
+	case g.pressed && g.now > g.cutAt:
+		g.bound = math.Max(g.boundStartAll(), math.Min(g.bound, g.threads+c.threads)*boundCut)
+		g.cutAt = g.now + time.Duration(took*float64(time.Second))
+	}
+	switch {
 	case latency < calmRatio && !g.pressed:
 		if e.threads >= boundUsed*e.bound { // a bound that is not felt needs no widening
 			e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, math.Max(boundCores*e.kind.cores, 1))
@@ -766,6 +800,7 @@
 	e.running = append(e.running, a)
 	e.count[q.c.index]++
 	e.threads += q.c.threads
+	g.threads += q.c.threads
 	if g.warmth(e) < 1 {
 		e.coldSent = append(e.coldSent, spent{g.now, q.c.work})
 	}
@@ -823,6 +858,7 @@
 	g.accrue(e)
 	e.count[q.c.index]--
 	e.threads -= q.c.threads
+	g.threads -= q.c.threads
 	same := func(v *attempt) bool { return v == a }
 	e.running, q.out = slices.DeleteFunc(e.running, same), slices.DeleteFunc(q.out, same)
 	if q.key != nil {
