--- a/gateway.go
+++ b/gateway.go
@@ -388,7 +388,7 @@
 				seen := math.Log(a.late * a.est / a.base)
 				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.fleet-e.slow)
 				e.slow += slowGain * miss
-				g.fleet += fleetGain * miss
+				g.fleetSeen(seen - e.slow)
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 			}
@@ -423,6 +423,13 @@
 	g.sickAll, g.pressed = sick*2 > all, g.fleet > math.Log(pressureRatio)
 }
 
+// fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
+// it becomes overdue.
+func (g *Gateway) fleetSeen(ratio float64) {
+	limit := math.Log(robustRatio)
+	g.fleet += fleetGain * min(max(ratio-g.fleet, -limit), limit)
+}
+
 func (g *Gateway) decay(e *engine) {
 	e.slow *= math.Exp2(-(g.now - e.slowAt).Seconds() / slowHalfLife.Seconds())
 	e.slowAt = g.now
@@ -509,7 +516,9 @@
 		c.scale *= math.Exp(light * gain * miss)
 	}
 	e.slow += slowGain * miss
-	g.fleet += fleetGain * miss
+	if a.late == lateRatio {
+		g.fleetSeen(math.Log(seen/want) - e.slow)
+	}
 	g.adapt(e, c, min(max(math.Log(seen), -limit), 2*limit), took)
 }
 
