--- a/gateway.go
+++ b/gateway.go
@@ -4,6 +4,7 @@
 package cresspass
 
 import (
+	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -16,17 +17,21 @@
 	tickEvery   = 50 * time.Millisecond // pace of the periodic look at what is running
 	expiryTicks = 2                     // final answers leave this many batch ticks before the deadline
 
-	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
-	kindGain     = 0.10 // gain of a kind's average weights
-	engineGain   = 0.05 // gain of an engine's own deviation from its kind
-	firstTry     = 0.98 // a try that may last less than this share of the longest seen is a later one
-	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
-	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
-	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
-	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
-	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
-	trialShare   = 0.02 // part of the queries that try an engine holding none of ours though they don't fit
-	anchorLeast  = 0.1  // part of its gain a base keeps while the fleet is slow
+	baseGain     = 0.04                   // least gain of a class's base; higher while it has seen few outcomes
+	kindGain     = 0.10                   // gain of a kind's average weights
+	engineGain   = 0.05                   // gain of an engine's own deviation from its kind
+	firstTry     = 0.98                   // a try that may last less than this share of the longest seen is a later one
+	unitLeast    = 0.02                   // least base, in parts of the aim: below, travel and handshakes rule the time
+	robustRatio  = 4.0                    // an outcome counts as at most this many times its estimate: no runaway moves the fit
+	weightMost   = 4.0                    // a query adds at most this many times its own threads' share of an engine
+	slowGain     = 0.12                   // gain of an engine's slowness, much faster than the weights
+	fleetGain    = 0.08                   // gain of the fleet's slowness, fed by every outcome
+	othersStart  = 0.0                    // weight of a thread of other gateways, over base and per core, before any outcome
+	tellEvery    = 500 * time.Millisecond // pace of messages to peers
+	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
+	newsHalfLife = 2 * time.Second        // of what peers told
+	trialShare   = 0.02                   // part of the queries that try an engine holding none of ours though they don't fit
+	anchorLeast  = 0.1                    // part of its gain a base keeps while the fleet is slow
 	slowHalfLife = 8 * time.Second
 	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
 	meanGain     = 0.05
@@ -63,7 +68,8 @@
 	grantDown    = 0.01
 	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
-	tieSpread    = 0.1 // estimates this close, as a share, are alike: chance decides among them
+	tieSpread    = 0.3 // estimates this close, as a share, are alike: chance decides among them
+	quotaLeast   = 8.0 // queries that may come at once at any rate: a small part of a share comes in clumps
 	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
 	askRetry     = 500 * time.Millisecond
 	topRank      = 3
@@ -89,7 +95,8 @@
 type engine struct {
 	EngineInfo
 	kind    *kind
-	known   bool // on the present list and neither draining nor gone
+	tag     uint16 // stands for its ID in messages
+	known   bool   // on the present list and neither draining nor gone
 	own     [][]float64
 	running []*attempt
 
@@ -98,6 +105,7 @@
 	slow, latency         float64       // logs: fast-moving slowness; recent latency over best
 	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
 	full                  time.Duration // under pressure until then: it turned work away
+	toldAt                time.Duration // when others' threads were last told
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -152,6 +160,12 @@
 	at          time.Duration
 }
 
+// digest is what a peer told of its threads on each engine.
+type digest struct {
+	at   time.Duration
+	data []byte
+}
+
 // Gateway decides for one gateway. It is not safe for concurrent use.
 type Gateway struct {
 	cfg      Config
@@ -162,6 +176,7 @@
 	kinds    map[string]*kind
 	engines  map[EngineID]*engine
 	list     []*engine // all engines known, by ID
+	byTag    map[uint16][]*engine
 	queries  map[QueryID]*query
 	attempts map[[2]uint64]*attempt
 	held     []*query // earliest deadline first
@@ -173,12 +188,17 @@
 	started  bool
 
 	gateways       float64
-	fleet          float64         // log of the fleet's slowness, of which an engine's own is a deviation
-	threads, bound float64         // ours running on all engines, and what may run under pressure
-	cores          float64         // told cores of all engines on the list
-	cutAt          time.Duration   // when bound was last cut
-	sickAll        bool            // so many engines are sick that it is the fleet
-	pressed        bool            // the fleet is under pressure
+	fleet          float64       // log of the fleet's slowness, of which an engine's own is a deviation
+	threads, bound float64       // ours running on all engines, and what may run under pressure
+	cutAt          time.Duration // when bound was last cut
+	cores          float64       // told cores of all engines on the list
+	crowd          float64       // threads a core over the whole fleet, as told
+	digests        map[int]digest
+	tellAt         time.Duration
+	gathered       int  // digests sent since this gateway last became a hub
+	sickAll        bool // so many engines are sick that it is the fleet
+	pressed        bool // the fleet is under pressure
+	pressure       float64
 	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
 }
 
@@ -188,8 +208,8 @@
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
-		engines: map[EngineID]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
-		keys: map[string]*orderKey{}, tenants: map[string]*bucket{},
+		engines: map[EngineID]*engine{}, byTag: map[uint16][]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
+		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, digests: map[int]digest{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
 		bound:    1, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
@@ -201,18 +221,21 @@
 	}
 	for i, name := range cfg.KindNames {
 		g.kinds[name] = &kind{cores: told(cfg.KindCores, i, 1), memory: told(cfg.KindMemoryMB, i, 0),
-			weights: g.newWeights()}
+			weights: g.newWeights(othersStart)}
 	}
 	for _, t := range cfg.Tenants {
-		g.tenants[t.Name] = &bucket{level: t.Quota / g.gateways * quotaBurst, rate: t.Quota / g.gateways}
+		g.tenants[t.Name] = &bucket{level: quotaLeast, rate: t.Quota / g.gateways}
 	}
 	return g, nil
 }
 
-func (g *Gateway) newWeights() [][]float64 {
+// newWeights returns zero weights. The last column is for the threads of other gateways, all classes
+// together: no gateway sees them run, so where they are told their weight does not start at zero.
+func (g *Gateway) newWeights(others float64) [][]float64 {
 	w := make([][]float64, len(g.order))
 	for i := range w {
-		w[i] = make([]float64, len(g.order))
+		w[i] = make([]float64, len(g.order)+1)
+		w[i][len(g.order)] = others
 	}
 	return w
 }
@@ -248,6 +271,8 @@
 		}
 	case ProbeDone:
 		g.probed(ev)
+	case PeerMessage:
+		g.peerTold(ev)
 	case AttemptDone:
 		g.attemptDone(ev)
 	case Progress:
@@ -290,36 +315,37 @@
 		info := &ev.Engines[i]
 		e := g.engines[info.ID]
 		if e == nil {
-			e = &engine{}
+			e = &engine{tag: engineTag(info.ID)}
 			g.engines[info.ID] = e
+			g.byTag[e.tag] = append(g.byTag[e.tag], e)
 			at := sort.Search(len(g.list), func(i int) bool { return g.list[i].ID >= info.ID })
 			g.list = slices.Insert(g.list, at, e)
 			g.reset(e, info)
-			e.count, e.area = make([]float64, len(g.order)), make([]float64, len(g.order))
+			e.count, e.area = make([]float64, len(g.order)+1), make([]float64, len(g.order)+1)
 		} else if info.Started > e.Started {
 			g.reset(e, info) // its process is new: nothing learnt of the old one holds
 		}
 		e.EngineInfo = *info
 		e.known = info.State == EngineOn
 	}
-	before := g.boundStartAll()
+	before := g.part()
 	g.cores = 0
 	for _, e := range g.list {
 		if e.known {
 			g.cores += e.kind.cores
 		}
 	}
-	g.bound *= g.boundStartAll() / before
+	g.bound *= g.part() / before
 }
 
 // reset makes an engine as good as new: its own weights zero, so that its kind's average stands.
 func (g *Gateway) reset(e *engine, info *EngineInfo) {
 	k := g.kinds[info.Kind]
 	if k == nil {
-		k = &kind{cores: 1, weights: g.newWeights()}
+		k = &kind{cores: 1, weights: g.newWeights(othersStart)}
 		g.kinds[info.Kind] = k
 	}
-	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(), 0, 0, 0, 0
+	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(0), 0, 0, 0, 0
 	e.bound = g.boundStart(e)
 	e.sick, e.probing, e.trial, e.shunFor = false, false, false, 0
 	e.heard, e.slowAt = g.now, g.now
@@ -377,9 +403,15 @@
 	if g.cfg.AskList && g.now >= g.askAt {
 		g.ask()
 	}
+	g.tellPeers()
+	g.crowd *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
 	sick, all := 0, 0
 	for _, e := range g.list {
 		g.decay(e)
+		if others := &e.count[len(g.order)]; *others > 0 && g.now-e.toldAt > newsHalfLife {
+			g.accrue(e)
+			*others *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
+		}
 		silent := 0
 		for _, a := range e.running {
 			age := (g.now - a.at).Seconds()
@@ -420,7 +452,9 @@
 		}
 	}
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
-	g.sickAll, g.pressed = sick*2 > all, g.fleet > math.Log(pressureRatio)
+	g.sickAll = sick*2 > all
+	g.pressure = math.Exp(g.fleet) / pressureRatio
+	g.pressed = g.pressure > 1
 }
 
 // fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
@@ -496,8 +530,11 @@
 	miss := min(max(math.Log(seen/want)-g.fleet-e.slow, -limit), limit)
 	used := 0.0
 	for j, v := range x {
-		threads := g.order[j].threads
-		used += v * threads
+		threads := 1.0
+		if j < len(g.order) {
+			threads = g.order[j].threads
+			used += v * threads
+		}
 		step := miss * want / norm * v / e.kind.cores
 		most := weightMost * threads
 		e.kind.weights[c.index][j] = min(max(e.kind.weights[c.index][j]+kindGain*step, 0), most)
@@ -522,6 +559,110 @@
 	g.adapt(e, c, min(max(math.Log(seen), -limit), 2*limit), took)
 }
 
+// Evidence of peers. At full size one gateway's queries tell nearly nothing of an engine, so gateways tell
+// a hub, a part that goes round, what they run where, and the hub tells all the sums. What is lost or stale
+// fades, and decisions then rest on what a gateway sees itself.
+
+const (
+	tellOwn   = 1 // first byte of a gateway's digest: entries of engine and threads follow
+	tellSums  = 2 // first byte of a hub's sums, entries alike
+	entrySize = 3
+	tellMost  = 255
+)
+
+func engineTag(id EngineID) uint16 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return uint16(h.Sum32() ^ h.Sum32()>>16)
+}
+
+// hub returns the gateway that gathers in a turn.
+func (g *Gateway) hub(turn time.Duration) int {
+	return int(uint64(turn) * 0x9e3779b97f4a7c15 >> 33 % uint64(g.cfg.Gateways))
+}
+
+func (g *Gateway) tellPeers() {
+	if !g.cfg.MayTell || g.cfg.Gateways < 2 || g.now < g.tellAt {
+		return
+	}
+	g.tellAt = g.now + tellEvery
+	own := []byte{tellOwn}
+	for _, e := range g.list {
+		if e.threads > 0 && len(own)+entrySize <= tellMost {
+			own = append(own, byte(e.tag>>8), byte(e.tag), byte(min(e.threads, 255)))
+		}
+	}
+	// Danger: a hub may be dead, so the one of the next turn gathers and tells as well.
+	gathers := g.gathered + 1
+	for turn := g.now / hubTurn; turn <= g.now/hubTurn+1; turn++ {
+		if h := g.hub(turn); h != g.cfg.Ordinal {
+			g.do(Action{Type: Tell, Peer: h, Data: own})
+		} else {
+			g.gathered = gathers
+		}
+	}
+	if g.gathered < gathers {
+		g.gathered = 0
+		clear(g.digests)
+		return
+	}
+	g.digests[g.cfg.Ordinal] = digest{g.now, own}
+	// Danger: a hub that has only begun knows few of its peers, and would tell of a calm that is none.
+	if g.gathered%2 == 0 && g.gathered > 2 {
+		g.tellSums()
+	}
+}
+
+// tellSums passes on the sums of the digests, to this gateway too.
+func (g *Gateway) tellSums() {
+	sums := map[uint16]float64{}
+	for _, d := range g.digests {
+		if g.now-d.at < 2*tellEvery {
+			for i := 1; i+entrySize <= len(d.data); i += entrySize {
+				sums[uint16(d.data[i])<<8|uint16(d.data[i+1])] += float64(d.data[i+2])
+			}
+		}
+	}
+	out := []byte{tellSums}
+	for i, e := range g.list {
+		if e.known {
+			out = append(out, byte(e.tag>>8), byte(e.tag), byte(min(sums[e.tag], 255)))
+		}
+		if len(out) > 1 && (len(out)+entrySize > tellMost || i == len(g.list)-1) {
+			g.do(Action{Type: Tell, Peer: -1, Data: out})
+			g.sumsTold(out)
+			out = []byte{tellSums}
+		}
+	}
+}
+
+func (g *Gateway) peerTold(ev *Event) {
+	switch {
+	case len(ev.Data) == 0 || ev.Peer < 0 || ev.Peer >= g.cfg.Gateways:
+	case ev.Data[0] == tellOwn:
+		g.digests[ev.Peer] = digest{g.now, slices.Clone(ev.Data)}
+	case ev.Data[0] == tellSums:
+		g.sumsTold(ev.Data)
+	}
+}
+
+func (g *Gateway) sumsTold(data []byte) {
+	threads, cores := 0.0, 0.0
+	for i := 1; i+entrySize <= len(data); i += entrySize {
+		tag := uint16(data[i])<<8 | uint16(data[i+1])
+		for _, e := range g.byTag[tag] {
+			sum := float64(data[i+2])
+			threads += sum
+			cores += e.kind.cores
+			g.accrue(e)
+			e.count[len(g.order)], e.toldAt = math.Max(0, sum-e.threads), g.now
+		}
+	}
+	if cores > 0 {
+		g.crowd = threads / cores
+	}
+}
+
 // Admission and choice.
 
 // queryTaken takes a client's query and lines it up; release decides in the same call.
@@ -551,7 +692,7 @@
 	g.queries[q.id] = q
 	g.taken = append(g.taken, g.now)
 	if b := g.tenants[ev.Tenant]; b != nil && b.rate > 0 {
-		b.level = math.Min(b.rate*quotaBurst, b.level+b.rate*(g.now-b.at).Seconds())
+		b.level = math.Min(quotaLeast+b.rate*quotaBurst, b.level+b.rate*(g.now-b.at).Seconds())
 		b.at = g.now
 		if q.over = b.level < 1; !q.over {
 			b.level--
@@ -589,10 +730,7 @@
 	var bestCost float64
 	var bestIdle, usable bool
 	left := g.timeLeft(q)
-	caution := 1.0
-	if g.pressed {
-		caution = math.Exp(g.fleet) / pressureRatio
-	}
+	caution := math.Max(1, g.pressure)
 	try := g.random.Float64() < trialShare // now and then, so that a fit gone wrong is put right
 	margin := 1.0
 	if g.pressed && q.told {
@@ -641,9 +779,9 @@
 
 // Thread bound and hold queue.
 
-// boundStartAll is the bound on our threads over all engines: where engines have fewer cores than there are
-// gateways, bounds of one thread each sum to far more than an engine holds, and would never bind.
-func (g *Gateway) boundStartAll() float64 { return math.Max(1, g.cores/g.gateways) }
+// part is the bound on our threads over all engines: where engines have fewer cores than there are gateways,
+// bounds of one thread each sum to far more than an engine holds, and would never bind.
+func (g *Gateway) part() float64 { return math.Max(1, g.cores/g.gateways) }
 
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
 
@@ -665,7 +803,7 @@
 			g.bound = math.Min(g.bound+boundStep*c.threads/g.bound, boundCores*g.cores)
 		}
 	case g.pressed && g.now > g.cutAt:
-		g.bound = math.Max(g.boundStartAll(), math.Min(g.bound, g.threads+c.threads)*boundCut)
+		g.bound = math.Max(g.part(), math.Min(g.bound, g.threads+c.threads)*boundCut)
 		g.cutAt = g.now + time.Duration(took*float64(time.Second))
 	}
 	switch {
