The margin follows the fleet's threads a core; failures count as load in what is told

Margin taken up by 0.5 of the pressure's logarithm a second, pressure from told threads a core against a best value (else from slowness).

--- a/gateway.go
+++ b/gateway.go
@@ -17,16 +17,21 @@
 	tickEvery   = 50 * time.Millisecond // pace of the periodic look at what is running
 	expiryTicks = 2                     // final answers leave this many batch ticks before the deadline
 
-	baseGain     = 0.04                   // least gain of a class's base; higher while it has seen few outcomes
-	kindGain     = 0.10                   // gain of a kind's average weights
-	engineGain   = 0.05                   // gain of an engine's own deviation from its kind
-	firstTry     = 0.98                   // a try that may last less than this share of the longest seen is a later one
-	unitLeast    = 0.02                   // least base, in parts of the aim: below, travel and handshakes rule the time
-	robustRatio  = 4.0                    // an outcome counts as at most this many times its estimate: no runaway moves the fit
-	weightMost   = 4.0                    // a query adds at most this many times its own threads' share of an engine
-	slowGain     = 0.12                   // gain of an engine's slowness, much faster than the weights
-	fleetGain    = 0.08                   // gain of the fleet's slowness, fed by every outcome
-	othersStart  = 0.0                    // weight of a thread of other gateways, over base and per core, before any outcome
+	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
+	kindGain     = 0.10 // gain of a kind's average weights
+	engineGain   = 0.05 // gain of an engine's own deviation from its kind
+	firstTry     = 0.98 // a try that may last less than this share of the longest seen is a later one
+	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
+	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
+	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
+	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
+	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
+	othersStart  = 0.5  // weight of a thread of other gateways, over base and per core, before any outcome
+	crowdBest    = 2.0  // threads a core over the whole fleet that the margin aims at
+	slowBest     = 1.7  // slowness of the fleet that it aims at where threads are not told
+	marginGain   = 0.5  // part of the pressure's logarithm that the margin takes up a second
+	marginMost   = 8.0
+	troubleAdd   = 4.0                    // threads' worth of load that a failed attempt counts as in what is told
 	tellEvery    = 500 * time.Millisecond // pace of messages to peers
 	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
 	newsHalfLife = 2 * time.Second        // of what peers told
@@ -68,7 +73,7 @@
 	grantDown    = 0.01
 	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
-	tieSpread    = 0.3 // estimates this close, as a share, are alike: chance decides among them
+	tieSpread    = 1.0 // estimates this close, as a share, are alike: chance decides among them
 	quotaLeast   = 8.0 // queries that may come at once at any rate: a small part of a share comes in clumps
 	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
 	askRetry     = 500 * time.Millisecond
@@ -106,6 +111,7 @@
 	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
 	full                  time.Duration // under pressure until then: it turned work away
 	toldAt                time.Duration // when others' threads were last told
+	trouble               float64       // failures of late, as threads
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -199,6 +205,8 @@
 	sickAll        bool // so many engines are sick that it is the fleet
 	pressed        bool // the fleet is under pressure
 	pressure       float64
+	margin         float64
+	toldAt         time.Duration
 	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
 }
 
@@ -211,7 +219,7 @@
 		engines: map[EngineID]*engine{}, byTag: map[uint16][]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, digests: map[int]digest{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
-		bound:    1, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
+		bound:    1, margin: 1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
 		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
 		k.loads = told(cfg.ClassLoads, i, false)
@@ -408,9 +416,12 @@
 	sick, all := 0, 0
 	for _, e := range g.list {
 		g.decay(e)
-		if others := &e.count[len(g.order)]; *others > 0 && g.now-e.toldAt > newsHalfLife {
+		fade := 1 - math.Exp2(-tickEvery.Seconds()/newsHalfLife.Seconds())
+		e.trouble -= fade * e.trouble
+		// Danger: an engine of which nothing is told would look free; it is taken to be like the others.
+		if others := &e.count[len(g.order)]; g.now-e.toldAt > newsHalfLife {
 			g.accrue(e)
-			*others *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
+			*others += fade * (g.crowd*e.kind.cores - *others)
 		}
 		silent := 0
 		for _, a := range e.running {
@@ -453,7 +464,12 @@
 	}
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
 	g.sickAll = sick*2 > all
-	g.pressure = math.Exp(g.fleet) / pressureRatio
+	g.pressure = math.Exp(g.fleet) / slowBest
+	if g.now-g.toldAt < newsHalfLife {
+		g.pressure = g.crowd / crowdBest
+	}
+	g.margin *= math.Pow(math.Max(g.pressure, 0.25), marginGain*tickEvery.Seconds())
+	g.margin = min(max(g.margin, 1), marginMost)
 	g.pressed = g.pressure > 1
 }
 
@@ -588,8 +604,10 @@
 	g.tellAt = g.now + tellEvery
 	own := []byte{tellOwn}
 	for _, e := range g.list {
-		if e.threads > 0 && len(own)+entrySize <= tellMost {
-			own = append(own, byte(e.tag>>8), byte(e.tag), byte(min(e.threads, 255)))
+		// Danger: an engine that fails at once runs nothing and would draw every gateway; so failures count
+		// as load for a while.
+		if load := e.threads + e.trouble; load >= 1 && len(own)+entrySize <= tellMost {
+			own = append(own, byte(e.tag>>8), byte(e.tag), byte(min(load, 255)))
 		}
 	}
 	// Danger: a hub may be dead, so the one of the next turn gathers and tells as well.
@@ -659,7 +677,7 @@
 		}
 	}
 	if cores > 0 {
-		g.crowd = threads / cores
+		g.crowd, g.toldAt = threads/cores, g.now
 	}
 }
 
@@ -730,7 +748,7 @@
 	var bestCost float64
 	var bestIdle, usable bool
 	left := g.timeLeft(q)
-	caution := math.Max(1, g.pressure)
+	caution := g.margin * math.Max(1, g.pressure)
 	try := g.random.Float64() < trialShare // now and then, so that a fit gone wrong is put right
 	margin := 1.0
 	if g.pressed && q.told {
@@ -803,7 +821,7 @@
 			g.bound = math.Min(g.bound+boundStep*c.threads/g.bound, boundCores*g.cores)
 		}
 	case g.pressed && g.now > g.cutAt:
-		g.bound = math.Max(g.part(), math.Min(g.bound, g.threads+c.threads)*boundCut)
+		g.bound = math.Max(boundMost*g.part(), math.Min(g.bound, g.threads+c.threads)*boundCut)
 		g.cutAt = g.now + time.Duration(took*float64(time.Second))
 	}
 	switch {
@@ -1024,10 +1042,12 @@
 		g.learn(a, ev.Took.Seconds())
 		g.memoryKnown(a, ev.NeededMB)
 	case Full:
+		e.trouble += troubleAdd
 		e.heard, e.full = g.now, g.now+fullPressure
 		e.bound = math.Max(1, e.threads*boundCut)
 	case Failed, Reset, ConnectFailed:
 		e.heard = g.now
+		e.trouble += troubleAdd
 		g.health(e, false)
 	}
 	if ev.Finished && !q.done {
