--- a/gateway.go
+++ b/gateway.go
@@ -27,12 +27,13 @@
 	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
 	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
 	othersStart  = 0.5  // weight of a thread of other gateways, over base and per core, before any outcome
-	crowdBest    = 2.0  // threads a core over the whole fleet that the margin aims at
+	crowdBest    = 1.6  // threads a core over the whole fleet that the margin aims at
 	slowBest     = 1.7  // slowness of the fleet that it aims at where threads are not told
 	marginGain   = 0.5  // part of the pressure's logarithm that the margin takes up a second
 	marginMost   = 8.0
 	troubleAdd   = 4.0                    // threads' worth of load that a failed attempt counts as in what is told
 	tellEvery    = 500 * time.Millisecond // pace of messages to peers
+	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
 	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
 	newsHalfLife = 2 * time.Second        // of what peers told
 	trialShare   = 0.02                   // part of the queries that try an engine holding none of ours though they don't fit
@@ -111,7 +112,7 @@
 	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
 	full                  time.Duration // under pressure until then: it turned work away
 	toldAt                time.Duration // when others' threads were last told
-	trouble               float64       // failures of late, as threads
+	trouble, recent       float64       // failures of late, as threads; threads told as just sent, fading into the sums
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -418,6 +419,12 @@
 		g.decay(e)
 		fade := 1 - math.Exp2(-tickEvery.Seconds()/newsHalfLife.Seconds())
 		e.trouble -= fade * e.trouble
+		if e.recent > 0 {
+			g.accrue(e)
+			less := e.recent * (1 - math.Exp2(-tickEvery.Seconds()/tellEvery.Seconds()))
+			e.recent -= less
+			e.count[len(g.order)] = math.Max(0, e.count[len(g.order)]-less)
+		}
 		// Danger: an engine of which nothing is told would look free; it is taken to be like the others.
 		if others := &e.count[len(g.order)]; g.now-e.toldAt > newsHalfLife {
 			g.accrue(e)
@@ -582,6 +589,7 @@
 const (
 	tellOwn   = 1 // first byte of a gateway's digest: entries of engine and threads follow
 	tellSums  = 2 // first byte of a hub's sums, entries alike
+	tellSent  = 3 // first byte of a sent query's entry
 	entrySize = 3
 	tellMost  = 255
 )
@@ -661,6 +669,12 @@
 		g.digests[ev.Peer] = digest{g.now, slices.Clone(ev.Data)}
 	case ev.Data[0] == tellSums:
 		g.sumsTold(ev.Data)
+	case ev.Data[0] == tellSent && len(ev.Data) > entrySize:
+		for _, e := range g.byTag[uint16(ev.Data[1])<<8|uint16(ev.Data[2])] {
+			g.accrue(e)
+			e.recent += float64(ev.Data[3])
+			e.count[len(g.order)] += float64(ev.Data[3])
+		}
 	}
 }
 
@@ -673,7 +687,7 @@
 			threads += sum
 			cores += e.kind.cores
 			g.accrue(e)
-			e.count[len(g.order)], e.toldAt = math.Max(0, sum-e.threads), g.now
+			e.count[len(g.order)], e.toldAt = math.Max(0, sum-e.threads)+e.recent, g.now
 		}
 	}
 	if cores > 0 {
@@ -786,7 +800,7 @@
 		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
 		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
 		// Danger: many gateways with like views would all pick the same engine.
-		cost *= 1 + tieSpread*g.random.Float64()
+		cost *= 1 + tieSpread/q.c.threads*g.random.Float64()
 		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
 			best, bestCost, bestIdle = e, cost, idle
 		}
@@ -954,6 +968,11 @@
 		area: append([]float64(nil), e.area...), late: lateRatio}
 	g.terms(a)
 	g.do(Action{Type: Send, Query: q.id, Engine: e.ID})
+	// Danger: sums come too late for what outlasts them, and gateways would fill the same engines.
+	if g.cfg.MayTell && g.gateways > 1 && a.base*q.c.threads >= tellLeast {
+		g.do(Action{Type: Tell, Peer: -1,
+			Data: []byte{tellSent, byte(e.tag >> 8), byte(e.tag), byte(min(q.c.threads, 255))}})
+	}
 	if q.tries > 0 {
 		g.further = append(g.further, g.now)
 	}
