--- a/gateway.go
+++ b/gateway.go
@@ -202,9 +202,10 @@
 	crowd          float64       // threads a core over the whole fleet, as told
 	digests        map[int]digest
 	tellAt         time.Duration
-	gathered       int  // digests sent since this gateway last became a hub
-	sickAll        bool // so many engines are sick that it is the fleet
-	pressed        bool // the fleet is under pressure
+	relay          []byte // entries of sent queries to pass on
+	gathered       int    // digests sent since this gateway last became a hub
+	sickAll        bool   // so many engines are sick that it is the fleet
+	pressed        bool   // the fleet is under pressure
 	pressure       float64
 	margin         float64
 	toldAt         time.Duration
@@ -589,7 +590,8 @@
 const (
 	tellOwn   = 1 // first byte of a gateway's digest: entries of engine and threads follow
 	tellSums  = 2 // first byte of a hub's sums, entries alike
-	tellSent  = 3 // first byte of a sent query's entry
+	tellSent  = 3 // first byte of what is told to the hub of one sent query
+	tellRelay = 4 // first byte of what the hub passes on of sent queries
 	entrySize = 3
 	tellMost  = 255
 )
@@ -606,6 +608,10 @@
 }
 
 func (g *Gateway) tellPeers() {
+	if len(g.relay) > 0 {
+		g.do(Action{Type: Tell, Peer: -1, Data: append([]byte{tellRelay}, g.relay...)})
+		g.relay = g.relay[:0]
+	}
 	if !g.cfg.MayTell || g.cfg.Gateways < 2 || g.now < g.tellAt {
 		return
 	}
@@ -669,11 +675,17 @@
 		g.digests[ev.Peer] = digest{g.now, slices.Clone(ev.Data)}
 	case ev.Data[0] == tellSums:
 		g.sumsTold(ev.Data)
-	case ev.Data[0] == tellSent && len(ev.Data) > entrySize:
-		for _, e := range g.byTag[uint16(ev.Data[1])<<8|uint16(ev.Data[2])] {
-			g.accrue(e)
-			e.recent += float64(ev.Data[3])
-			e.count[len(g.order)] += float64(ev.Data[3])
+	case ev.Data[0] == tellSent || ev.Data[0] == tellRelay:
+		for i := 1; i+entrySize <= len(ev.Data); i += entrySize {
+			for _, e := range g.byTag[uint16(ev.Data[i])<<8|uint16(ev.Data[i+1])] {
+				g.accrue(e)
+				e.recent += float64(ev.Data[i+2])
+				e.count[len(g.order)] += float64(ev.Data[i+2])
+			}
+		}
+		// A batch of a tick costs far less than a message to all for each query.
+		if ev.Data[0] == tellSent && len(g.relay)+len(ev.Data) <= tellMost {
+			g.relay = append(g.relay, ev.Data[1:]...)
 		}
 	}
 }
@@ -970,8 +982,12 @@
 	g.do(Action{Type: Send, Query: q.id, Engine: e.ID})
 	// Danger: sums come too late for what outlasts them, and gateways would fill the same engines.
 	if g.cfg.MayTell && g.gateways > 1 && a.base*q.c.threads >= tellLeast {
-		g.do(Action{Type: Tell, Peer: -1,
-			Data: []byte{tellSent, byte(e.tag >> 8), byte(e.tag), byte(min(q.c.threads, 255))}})
+		entry := []byte{tellSent, byte(e.tag >> 8), byte(e.tag), byte(min(q.c.threads, 255))}
+		if h := g.hub(g.now / hubTurn); h != g.cfg.Ordinal {
+			g.do(Action{Type: Tell, Peer: h, Data: entry})
+		} else if len(g.relay)+entrySize <= tellMost {
+			g.relay = append(g.relay, entry[1:]...)
+		}
 	}
 	if q.tries > 0 {
 		g.further = append(g.further, g.now)
