--- a/gateway.go
+++ b/gateway.go
@@ -17,21 +17,22 @@
 	tickEvery   = 50 * time.Millisecond // pace of the periodic look at what is running
 	expiryTicks = 2                     // final answers leave this many batch ticks before the deadline
 
-	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
-	kindGain     = 0.10 // gain of a kind's average weights
-	engineGain   = 0.05 // gain of an engine's own deviation from its kind
-	firstTry     = 0.98 // a try that may last less than this share of the longest seen is a later one
-	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
-	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
-	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
-	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
-	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
-	othersStart  = 0.5  // weight of a thread of other gateways, over base and per core, before any outcome
-	crowdBest    = 1.6  // threads a core over the whole fleet that the margin aims at
-	slowBest     = 1.7  // slowness of the fleet that it aims at where threads are not told
-	marginGain   = 0.5  // part of the pressure's logarithm that the margin takes up a second
+	baseGain     = 0.04            // least gain of a class's base; higher while it has seen few outcomes
+	kindGain     = 0.10            // gain of a kind's average weights
+	engineGain   = 0.05            // gain of an engine's own deviation from its kind
+	firstTry     = 0.98            // a try that may last less than this share of the longest seen is a later one
+	unitLeast    = 0.02            // least base, in parts of the aim: below, travel and handshakes rule the time
+	robustRatio  = 4.0             // an outcome counts as at most this many times its estimate: no runaway moves the fit
+	weightMost   = 4.0             // a query adds at most this many times its own threads' share of an engine
+	slowGain     = 0.12            // gain of an engine's slowness, much faster than the weights
+	fleetGain    = 0.08            // gain of the fleet's slowness, fed by every outcome
+	othersStart  = 0.5             // weight of a thread of other gateways, over base and per core, before any outcome
+	crowdBest    = 1.6             // threads a core over the whole fleet that the margin aims at
+	slowBest     = 1.7             // slowness of the fleet that it aims at where threads are not told
+	marginGain   = 0.5             // part of the pressure's logarithm that the margin takes up a second
+	sickLeast    = 3.0             // failures or lost answers of late from which peers may call an engine sick
+	sickHalfLife = 3 * time.Second // of the evidence for it
 	marginMost   = 8.0
-	troubleAdd   = 4.0                    // threads' worth of load that a failed attempt counts as in what is told
 	tellEvery    = 500 * time.Millisecond // pace of messages to peers
 	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
 	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
@@ -39,6 +40,7 @@
 	trialShare   = 0.02                   // part of the queries that try an engine holding none of ours though they don't fit
 	anchorLeast  = 0.1                    // part of its gain a base keeps while the fleet is slow
 	slowHalfLife = 8 * time.Second
+	lostRatio    = 4.0 // ...and this many times over, its answer is taken for lost
 	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
 	meanGain     = 0.05
 
@@ -112,7 +114,10 @@
 	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
 	full                  time.Duration // under pressure until then: it turned work away
 	toldAt                time.Duration // when others' threads were last told
-	trouble, recent       float64       // failures of late, as threads; threads told as just sent, fading into the sums
+	recent                float64       // threads told as just sent, fading into the sums
+	goodSum, badSum       float64       // the same of all gateways, fading, while this one is a hub
+	good, bad             int           // answers, and failures or lost answers, since the last digest
+	lost                  float64       // threads of attempts taken for lost
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -138,7 +143,7 @@
 	area      []float64 // the engine's integral of the mix when it was sent
 	late      float64   // next multiple of the estimate at which it counts as overdue
 
-	cancelled, spilled bool
+	cancelled, spilled, lost bool
 }
 
 type query struct {
@@ -419,7 +424,6 @@
 	for _, e := range g.list {
 		g.decay(e)
 		fade := 1 - math.Exp2(-tickEvery.Seconds()/newsHalfLife.Seconds())
-		e.trouble -= fade * e.trouble
 		if e.recent > 0 {
 			g.accrue(e)
 			less := e.recent * (1 - math.Exp2(-tickEvery.Seconds()/tellEvery.Seconds()))
@@ -442,6 +446,11 @@
 				g.fleetSeen(seen - e.slow)
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
+				if a.late > lostRatio && !a.lost {
+					a.lost = true
+					e.bad++
+					e.lost += a.q.c.threads
+				}
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
 				silent++
@@ -588,12 +597,14 @@
 // fades, and decisions then rest on what a gateway sees itself.
 
 const (
-	tellOwn   = 1 // first byte of a gateway's digest: entries of engine and threads follow
-	tellSums  = 2 // first byte of a hub's sums, entries alike
-	tellSent  = 3 // first byte of what is told to the hub of one sent query
-	tellRelay = 4 // first byte of what the hub passes on of sent queries
-	entrySize = 3
-	tellMost  = 255
+	tellOwn    = 1 // first byte of a gateway's digest: entries of engine and threads follow
+	tellSums   = 2 // first byte of a hub's sums, entries alike
+	tellSent   = 3 // first byte of what is told to the hub of one sent query
+	tellRelay  = 4 // first byte of what the hub passes on of sent queries
+	entrySize  = 3
+	digestSize = 4   // an entry with answers and failures
+	sickLoad   = 255 // told of an engine that most gateways find failing or silent
+	tellMost   = 255
 )
 
 func engineTag(id EngineID) uint16 {
@@ -618,10 +629,9 @@
 	g.tellAt = g.now + tellEvery
 	own := []byte{tellOwn}
 	for _, e := range g.list {
-		// Danger: an engine that fails at once runs nothing and would draw every gateway; so failures count
-		// as load for a while.
-		if load := e.threads + e.trouble; load >= 1 && len(own)+entrySize <= tellMost {
-			own = append(own, byte(e.tag>>8), byte(e.tag), byte(min(load, 255)))
+		if load := e.threads - e.lost; (load > 0 || e.good+e.bad > 0) && len(own)+digestSize <= tellMost {
+			own = append(own, byte(e.tag>>8), byte(e.tag), byte(min(load, 255)), byte(min(e.good, 15)<<4|min(e.bad, 15)))
+			e.good, e.bad = 0, 0
 		}
 	}
 	// Danger: a hub may be dead, so the one of the next turn gathers and tells as well.
@@ -636,9 +646,16 @@
 	if g.gathered < gathers {
 		g.gathered = 0
 		clear(g.digests)
+		for _, e := range g.list {
+			e.goodSum, e.badSum = 0, 0
+		}
 		return
 	}
-	g.digests[g.cfg.Ordinal] = digest{g.now, own}
+	g.gather(g.cfg.Ordinal, own)
+	for _, e := range g.list {
+		fade := math.Exp2(-tellEvery.Seconds() / sickHalfLife.Seconds())
+		e.goodSum, e.badSum = e.goodSum*fade, e.badSum*fade
+	}
 	// Danger: a hub that has only begun knows few of its peers, and would tell of a calm that is none.
 	if g.gathered%2 == 0 && g.gathered > 2 {
 		g.tellSums()
@@ -648,17 +665,34 @@
 // tellSums passes on the sums of the digests, to this gateway too.
 func (g *Gateway) tellSums() {
 	sums := map[uint16]float64{}
+	sick, known := 0, 0
 	for _, d := range g.digests {
 		if g.now-d.at < 2*tellEvery {
-			for i := 1; i+entrySize <= len(d.data); i += entrySize {
+			for i := 1; i+digestSize <= len(d.data); i += digestSize {
 				sums[uint16(d.data[i])<<8|uint16(d.data[i+1])] += float64(d.data[i+2])
 			}
 		}
 	}
+	// Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty in the sums and
+	// would draw every gateway. Where all look bad it is not the engines.
+	for _, e := range g.list {
+		if e.known {
+			known++
+			if e.badSum > sickLeast && e.badSum > e.goodSum {
+				sick++
+			}
+		}
+	}
+	for _, e := range g.list {
+		sums[e.tag] = math.Min(sums[e.tag]*(1+failWeight*e.badSum/(e.badSum+e.goodSum+1)), sickLoad-1)
+		if sick*2 < known && e.badSum > sickLeast && e.badSum > e.goodSum {
+			sums[e.tag] = sickLoad
+		}
+	}
 	out := []byte{tellSums}
 	for i, e := range g.list {
 		if e.known {
-			out = append(out, byte(e.tag>>8), byte(e.tag), byte(min(sums[e.tag], 255)))
+			out = append(out, byte(e.tag>>8), byte(e.tag), byte(sums[e.tag]))
 		}
 		if len(out) > 1 && (len(out)+entrySize > tellMost || i == len(g.list)-1) {
 			g.do(Action{Type: Tell, Peer: -1, Data: out})
@@ -668,11 +702,22 @@
 	}
 }
 
+// gather takes in a digest.
+func (g *Gateway) gather(peer int, data []byte) {
+	g.digests[peer] = digest{g.now, data}
+	for i := 1; i+digestSize <= len(data); i += digestSize {
+		for _, e := range g.byTag[uint16(data[i])<<8|uint16(data[i+1])] {
+			e.goodSum += float64(data[i+3] >> 4)
+			e.badSum += float64(data[i+3] & 15)
+		}
+	}
+}
+
 func (g *Gateway) peerTold(ev *Event) {
 	switch {
 	case len(ev.Data) == 0 || ev.Peer < 0 || ev.Peer >= g.cfg.Gateways:
 	case ev.Data[0] == tellOwn:
-		g.digests[ev.Peer] = digest{g.now, slices.Clone(ev.Data)}
+		g.gather(ev.Peer, slices.Clone(ev.Data))
 	case ev.Data[0] == tellSums:
 		g.sumsTold(ev.Data)
 	case ev.Data[0] == tellSent || ev.Data[0] == tellRelay:
@@ -696,8 +741,10 @@
 		tag := uint16(data[i])<<8 | uint16(data[i+1])
 		for _, e := range g.byTag[tag] {
 			sum := float64(data[i+2])
-			threads += sum
-			cores += e.kind.cores
+			if sum < sickLoad {
+				threads += sum
+				cores += e.kind.cores
+			}
 			g.accrue(e)
 			e.count[len(g.order)], e.toldAt = math.Max(0, sum-e.threads)+e.recent, g.now
 		}
@@ -1057,6 +1104,9 @@
 	q, e := a.q, a.e
 	g.accrue(e)
 	e.count[q.c.index]--
+	if a.lost {
+		e.lost -= q.c.threads
+	}
 	e.threads -= q.c.threads
 	g.threads -= q.c.threads
 	same := func(v *attempt) bool { return v == a }
@@ -1072,17 +1122,17 @@
 	}
 	switch ev.Outcome {
 	case OK:
+		e.good++
 		e.heard = g.now
 		g.health(e, true)
 		g.learn(a, ev.Took.Seconds())
 		g.memoryKnown(a, ev.NeededMB)
 	case Full:
-		e.trouble += troubleAdd
 		e.heard, e.full = g.now, g.now+fullPressure
 		e.bound = math.Max(1, e.threads*boundCut)
 	case Failed, Reset, ConnectFailed:
+		e.bad++
 		e.heard = g.now
-		e.trouble += troubleAdd
 		g.health(e, false)
 	}
 	if ev.Finished && !q.done {
