Idle engines take unfitting queries by a chance of one over the gateways

With a third of the engines under pressure counting as overload again. One rule for any number of gateways: with one gateway, an engine without queries of ours is idle; with 200 it hardly ever is.

--- a/gateway.go
+++ b/gateway.go
@@ -37,7 +37,6 @@
 	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
 	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
 	newsHalfLife = 2 * time.Second        // of what peers told
-	trialShare   = 0.02                   // part of the queries that try an engine holding none of ours though they don't fit
 	anchorLeast  = 0.1                    // part of its gain a base keeps while the fleet is slow
 	slowHalfLife = 8 * time.Second
 	lostRatio    = 4.0 // ...and this many times over, its answer is taken for lost
@@ -54,6 +53,7 @@
 	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
 	fullPressure  = time.Second
 
+	pressedOf   = 3   // one engine in this many under pressure is an overload of the fleet
 	failGain    = 0.2 // gain of an engine's share of failed attempts
 	failSick    = 0.4 // share of failures from which an engine is sick
 	failStreak  = 3   // failures in a row from which an engine is sick
@@ -74,6 +74,7 @@
 	grantStart   = 1.25 // memory granted over the estimate, adapted by class
 	grantUp      = 0.06
 	grantDown    = 0.01
+	marginIdle   = 2.0 // a query with a wider margin than this has no claim to an idle engine
 	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
 	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
 	tieSpread    = 1.0 // estimates this close, as a share, are alike: chance decides among them
@@ -420,7 +421,7 @@
 	}
 	g.tellPeers()
 	g.crowd *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
-	sick, all := 0, 0
+	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
 		g.decay(e)
 		fade := 1 - math.Exp2(-tickEvery.Seconds()/newsHalfLife.Seconds())
@@ -459,7 +460,9 @@
 		if !e.known {
 			continue
 		}
-		all++
+		if all++; e.latency > math.Log(pressureRatio) {
+			pressed++
+		}
 		if silent >= silentCount && !e.sick {
 			g.shun(e)
 			for _, a := range e.running { // what may lawfully run elsewhere is called off
@@ -487,7 +490,7 @@
 	}
 	g.margin *= math.Pow(math.Max(g.pressure, 0.25), marginGain*tickEvery.Seconds())
 	g.margin = min(max(g.margin, 1), marginMost)
-	g.pressed = g.pressure > 1
+	g.pressed = g.pressure > 1 || pressed*pressedOf > all
 }
 
 // fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
@@ -822,7 +825,8 @@
 	var bestIdle, usable bool
 	left := g.timeLeft(q)
 	caution := g.margin * math.Max(1, g.pressure)
-	try := g.random.Float64() < trialShare // now and then, so that a fit gone wrong is put right
+	// The more gateways there are, the less an engine that runs none of ours is likely to be idle.
+	try := g.random.Float64() < 1/g.gateways
 	margin := 1.0
 	if g.pressed && q.told {
 		// Danger: in an overload a few very long queries take the room of many; each earns no more than one.
@@ -843,11 +847,11 @@
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est*margin*caution > left && !(idle && try && left > 0) {
+		if est*margin*caution > left && !(idle && try && margin <= marginIdle && (left > 0 || q.c.LateValue > 0)) {
 			continue
 		}
 		wait = true
-		if full := g.pressed && g.threads >= g.bound; full || blocked[e] || g.bounded(e) {
+		if full := g.pressure > 1 && g.threads >= g.bound; full || blocked[e] || g.bounded(e) {
 			blocked[e] = true
 			continue
 		}
@@ -889,11 +893,11 @@
 	e.latency += latencyGain * (ratio - e.latency)
 	latency := math.Exp(e.latency)
 	switch {
-	case !g.pressed && g.fleet < math.Log(calmRatio):
+	case g.pressure < 1 && g.fleet < math.Log(calmRatio):
 		if g.threads >= boundUsed*g.bound {
 			g.bound = math.Min(g.bound+boundStep*c.threads/g.bound, boundCores*g.cores)
 		}
-	case g.pressed && g.now > g.cutAt:
+	case g.pressure > 1 && g.now > g.cutAt:
 		g.bound = math.Max(boundMost*g.part(), math.Min(g.bound, g.threads+c.threads)*boundCut)
 		g.cutAt = g.now + time.Duration(took*float64(time.Second))
 	}
