--- a/gateway.go
+++ b/gateway.go
@@ -4,7 +4,6 @@
 package cresspass
 
 import (
-	"hash/fnv"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -17,21 +16,21 @@
 	tickEvery   = 50 * time.Millisecond // pace of the periodic look at what is running
 	expiryTicks = 2                     // final answers leave this many batch ticks before the deadline
 
-	baseGain     = 0.04            // least gain of a class's base; higher while it has seen few outcomes
-	kindGain     = 0.10            // gain of a kind's average weights
-	engineGain   = 0.05            // gain of an engine's own deviation from its kind
-	firstTry     = 0.98            // a try that may last less than this share of the longest seen is a later one
-	unitLeast    = 0.02            // least base, in parts of the aim: below, travel and handshakes rule the time
-	robustRatio  = 4.0             // an outcome counts as at most this many times its estimate: no runaway moves the fit
-	weightMost   = 4.0             // a query adds at most this many times its own threads' share of an engine
-	slowGain     = 0.12            // gain of an engine's slowness, much faster than the weights
-	fleetGain    = 0.08            // gain of the fleet's slowness, fed by every outcome
-	othersStart  = 0.5             // weight of a thread of other gateways, over base and per core, before any outcome
-	crowdBest    = 1.6             // threads a core over the whole fleet that the margin aims at
-	slowBest     = 1.7             // slowness of the fleet that it aims at where threads are not told
-	marginGain   = 0.5             // part of the pressure's logarithm that the margin takes up a second
-	sickLeast    = 3.0             // failures or lost answers of late from which peers may call an engine sick
-	sickHalfLife = 3 * time.Second // of the evidence for it
+	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
+	kindGain     = 0.10 // gain of a kind's average weights
+	engineGain   = 0.05 // gain of an engine's own deviation from its kind
+	firstTry     = 0.98 // a try that may last less than this share of the longest seen is a later one
+	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
+	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
+	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
+	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
+	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
+	othersStart  = 0.5  // weight of a thread of other gateways, over base and per core, before any outcome
+	crowdBest    = 1.6  // threads a core over the whole fleet that the margin aims at
+	slowBest     = 2.0  // slowness of the fleet that it aims at where threads are not told
+	marginGain   = 0.5  // part of the pressure's logarithm that the margin takes up a second
+	sickLeast    = 3.0  // failures or lost answers of late from which peers may call an engine sick
+	sickKeep     = 0.8  // part of the evidence for it that is kept each time sums are told
 	marginMost   = 8.0
 	tellEvery    = 500 * time.Millisecond // pace of messages to peers
 	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
@@ -84,150 +83,16 @@
 	topRank      = 3
 )
 
-type class struct {
-	Class
-	index   int
-	threads float64
-	loads   bool
-	scale   float64       // unloaded time over the told estimate (or over the aim where none is told)
-	seen    float64       // outcomes that have corrected it
-	work    float64       // mean work of a query, in thread seconds
-	grant   float64       // memory granted over the told estimate
-	wait    time.Duration // longest wait of a try seen
-}
-
-type kind struct {
-	cores, memory float64     // memory in MB
-	weights       [][]float64 // per class: time a running query of each class adds, over base, per core
-}
-
-type engine struct {
-	EngineInfo
-	kind    *kind
-	tag     uint16 // stands for its ID in messages
-	known   bool   // on the present list and neither draining nor gone
-	own     [][]float64
-	running []*attempt
-
-	count, area           []float64     // this gateway's running queries per class; their integral in seconds
-	threads, bound        float64       // threads running; threads this gateway may run under pressure
-	slow, latency         float64       // logs: fast-moving slowness; recent latency over best
-	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
-	full                  time.Duration // under pressure until then: it turned work away
-	toldAt                time.Duration // when others' threads were last told
-	recent                float64       // threads told as just sent, fading into the sums
-	goodSum, badSum       float64       // the same of all gateways, fading, while this one is a hub
-	good, bad             int           // answers, and failures or lost answers, since the last digest
-	lost                  float64       // threads of attempts taken for lost
-
-	failing            float64       // recent share of failed attempts
-	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
-	heard              time.Duration // last sign of life
-	sick, probing      bool
-	trial              bool // open to one trial query at a time
-	shunUntil, shunFor time.Duration
-	coldSent           []spent
-}
-
-type spent struct {
-	at   time.Duration
-	work float64
-}
-
-type attempt struct {
-	q         *query
-	e         *engine
-	trial     int
-	at        time.Duration
-	base, est float64 // seconds
-	grant     float64
-	area      []float64 // the engine's integral of the mix when it was sent
-	late      float64   // next multiple of the estimate at which it counts as overdue
-
-	cancelled, spilled, lost bool
-}
-
-type query struct {
-	id     QueryID
-	c      *class
-	tables float64
-	key    *orderKey
-	out    []*attempt
-	avoid  *engine  // where its last attempt ended
-	doubt  *attempt // earliest attempt that may have run
-
-	deadline, taken, waited time.Duration // waited: what the client had waited in earlier tries
-	unit, memory            float64       // told estimate over threads, or the aim, in seconds; told MB
-	tries, kills            int
-	over, told, held, done  bool // over: beyond its tenant's share; told: its cost was estimated
-}
-
-type orderKey struct {
-	line    []*query
-	running int
-	rest    time.Duration
-}
-
-type bucket struct {
-	level, rate float64
-	at          time.Duration
-}
-
-// digest is what a peer told of its threads on each engine.
-type digest struct {
-	at   time.Duration
-	data []byte
-}
-
-// Gateway decides for one gateway. It is not safe for concurrent use.
-type Gateway struct {
-	cfg      Config
-	now      time.Duration
-	out      []Action
-	classes  map[string]*class
-	order    []*class
-	kinds    map[string]*kind
-	engines  map[EngineID]*engine
-	list     []*engine // all engines known, by ID
-	byTag    map[uint16][]*engine
-	queries  map[QueryID]*query
-	attempts map[[2]uint64]*attempt
-	held     []*query // earliest deadline first
-	keys     map[string]*orderKey
-	tenants  map[string]*bucket
-	scratch  []float64
-	random   *rand.Rand
-	askAt    time.Duration
-	started  bool
-
-	gateways       float64
-	fleet          float64       // log of the fleet's slowness, of which an engine's own is a deviation
-	threads, bound float64       // ours running on all engines, and what may run under pressure
-	cutAt          time.Duration // when bound was last cut
-	cores          float64       // told cores of all engines on the list
-	crowd          float64       // threads a core over the whole fleet, as told
-	digests        map[int]digest
-	tellAt         time.Duration
-	relay          []byte // entries of sent queries to pass on
-	gathered       int    // digests sent since this gateway last became a hub
-	sickAll        bool   // so many engines are sick that it is the fleet
-	pressed        bool   // the fleet is under pressure
-	pressure       float64
-	margin         float64
-	toldAt         time.Duration
-	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
-}
-
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
 func New(cfg Config) (*Gateway, error) {
 	if err := cfg.Validate(); err != nil {
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
-		engines: map[EngineID]*engine{}, byTag: map[uint16][]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
-		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, digests: map[int]digest{},
+		engines: map[EngineID]*engine{}, byTag: map[uint16]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
+		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, reports: map[int]report{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
-		bound:    1, margin: 1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
+		margin:   1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
 		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
 		k.loads = told(cfg.ClassLoads, i, false)
@@ -245,17 +110,6 @@
 	return g, nil
 }
 
-// newWeights returns zero weights. The last column is for the threads of other gateways, all classes
-// together: no gateway sees them run, so where they are told their weight does not start at zero.
-func (g *Gateway) newWeights(others float64) [][]float64 {
-	w := make([][]float64, len(g.order))
-	for i := range w {
-		w[i] = make([]float64, len(g.order)+1)
-		w[i][len(g.order)] = others
-	}
-	return w
-}
-
 // Handle takes the clock and what has happened since the last call, in order, and appends to actions
 // what is to be done. The gateway keeps neither slice.
 func (g *Gateway) Handle(now time.Duration, events []Event, actions []Action) []Action {
@@ -300,12 +154,6 @@
 	}
 }
 
-func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
-
-func (g *Gateway) timer(in time.Duration, label uint64) {
-	g.do(Action{Type: SetTimer, Wait: max(in, time.Microsecond), Label: label})
-}
-
 func (g *Gateway) expiry() time.Duration { return expiryTicks * max(g.cfg.Tick, time.Millisecond) }
 
 // Engine view and health.
@@ -333,7 +181,7 @@
 		if e == nil {
 			e = &engine{tag: engineTag(info.ID)}
 			g.engines[info.ID] = e
-			g.byTag[e.tag] = append(g.byTag[e.tag], e)
+			g.byTag[e.tag] = e
 			at := sort.Search(len(g.list), func(i int) bool { return g.list[i].ID >= info.ID })
 			g.list = slices.Insert(g.list, at, e)
 			g.reset(e, info)
@@ -344,14 +192,12 @@
 		e.EngineInfo = *info
 		e.known = info.State == EngineOn
 	}
-	before := g.part()
 	g.cores = 0
 	for _, e := range g.list {
 		if e.known {
 			g.cores += e.kind.cores
 		}
 	}
-	g.bound *= g.part() / before
 }
 
 // reset makes an engine as good as new: its own weights zero, so that its kind's average stands.
@@ -419,7 +265,7 @@
 	if g.cfg.AskList && g.now >= g.askAt {
 		g.ask()
 	}
-	g.tellPeers()
+	g.talk()
 	g.crowd *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
@@ -485,11 +331,12 @@
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
 	g.sickAll = sick*2 > all
 	g.pressure = math.Exp(g.fleet) / slowBest
+	step := -1.0 // without news the margin falls back: slowness alone may be no overload, and stay
 	if g.now-g.toldAt < newsHalfLife {
 		g.pressure = g.crowd / crowdBest
+		step = math.Log(math.Max(g.pressure, 0.25))
 	}
-	g.margin *= math.Pow(math.Max(g.pressure, 0.25), marginGain*tickEvery.Seconds())
-	g.margin = min(max(g.margin, 1), marginMost)
+	g.margin = min(max(g.margin*math.Exp(step*marginGain*tickEvery.Seconds()), 1), marginMost)
 	g.pressed = g.pressure > 1 || pressed*pressedOf > all
 }
 
@@ -535,14 +382,6 @@
 	return est
 }
 
-// accrue brings the integral of an engine's mix up to now.
-func (g *Gateway) accrue(e *engine) {
-	for j, n := range e.count {
-		e.area[j] += n * (g.now - e.areaAt).Seconds()
-	}
-	e.areaAt = g.now
-}
-
 // learn corrects the fit by an answered attempt: the class's base, the weights by the mix it met, and,
 // faster, the engine's slowness. Only slowness beyond the fleet's median is kept from the weights.
 func (g *Gateway) learn(a *attempt, took float64) {
@@ -578,15 +417,15 @@
 	}
 	g.scratch = x
 	// The base is the unloaded time, so only outcomes that met little of ours correct it.
-	// Danger: where many gateways share the engines, ours are few also in an overload, and the base would
-	// take the overload for normal; so it learns slowly while the fleet is slow.
-	if light := 1 - (used-c.threads)/g.boundStart(e); light > 0 {
-		gain := 1 / (c.seen + 2)
-		if gain < baseGain {
-			gain = baseGain * min(max(1-g.fleet/math.Log(calmRatio), anchorLeast), 1)
-		}
+	// Danger: where many gateways share the engines, ours are few on each also in an overload, and the base
+	// would take the overload for normal; so ours on all engines count as well.
+	load := math.Max((used-c.threads)/g.boundStart(e), (g.threads-c.threads)/g.part())
+	if g.now-g.toldAt < newsHalfLife {
+		load = g.crowd
+	}
+	if light := math.Max(1-load, anchorLeast); light > 0 {
 		c.seen += light
-		c.scale *= math.Exp(light * gain * miss)
+		c.scale *= math.Exp(light * math.Max(baseGain, 1/(c.seen+2)) * miss)
 	}
 	e.slow += slowGain * miss
 	if a.late == lateRatio {
@@ -595,162 +434,128 @@
 	g.adapt(e, c, min(max(math.Log(seen), -limit), 2*limit), took)
 }
 
-// Evidence of peers. At full size one gateway's queries tell nearly nothing of an engine, so gateways tell
-// a hub, a part that goes round, what they run where, and the hub tells all the sums. What is lost or stale
-// fades, and decisions then rest on what a gateway sees itself.
-
-const (
-	tellOwn    = 1 // first byte of a gateway's digest: entries of engine and threads follow
-	tellSums   = 2 // first byte of a hub's sums, entries alike
-	tellSent   = 3 // first byte of what is told to the hub of one sent query
-	tellRelay  = 4 // first byte of what the hub passes on of sent queries
-	entrySize  = 3
-	digestSize = 4   // an entry with answers and failures
-	sickLoad   = 255 // told of an engine that most gateways find failing or silent
-	tellMost   = 255
-)
-
-func engineTag(id EngineID) uint16 {
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	return uint16(h.Sum32() ^ h.Sum32()>>16)
-}
+// Evidence of peers. At full size one gateway's queries tell nearly nothing of an engine, so gateways report
+// to a hub, a part that goes round, what they run where and how it ended, and the hub tells all the sums. What
+// is lost or stale fades, and decisions then rest on what a gateway sees itself.
 
 // hub returns the gateway that gathers in a turn.
 func (g *Gateway) hub(turn time.Duration) int {
 	return int(uint64(turn) * 0x9e3779b97f4a7c15 >> 33 % uint64(g.cfg.Gateways))
 }
 
-func (g *Gateway) tellPeers() {
-	if len(g.relay) > 0 {
-		g.do(Action{Type: Tell, Peer: -1, Data: append([]byte{tellRelay}, g.relay...)})
+func (g *Gateway) talk() {
+	if len(g.relay) > 0 { // a batch of a tick costs far less than a message to all for each query
+		g.tell(-1, peerRelay, g.relay)
 		g.relay = g.relay[:0]
 	}
-	if !g.cfg.MayTell || g.cfg.Gateways < 2 || g.now < g.tellAt {
+	if !g.cfg.MayTell || g.cfg.Gateways < 2 || g.now < g.talkAt {
 		return
 	}
-	g.tellAt = g.now + tellEvery
-	own := []byte{tellOwn}
+	g.talkAt = g.now + tellEvery
+	var own []peerEntry
 	for _, e := range g.list {
-		if load := e.threads - e.lost; (load > 0 || e.good+e.bad > 0) && len(own)+digestSize <= tellMost {
-			own = append(own, byte(e.tag>>8), byte(e.tag), byte(min(load, 255)), byte(min(e.good, 15)<<4|min(e.bad, 15)))
+		if load := e.threads - e.lost; load > 0 || e.good+e.bad > 0 {
+			own = append(own, peerEntry{e.tag, load, e.good, e.bad})
 			e.good, e.bad = 0, 0
 		}
 	}
 	// Danger: a hub may be dead, so the one of the next turn gathers and tells as well.
-	gathers := g.gathered + 1
+	gathers := 0
 	for turn := g.now / hubTurn; turn <= g.now/hubTurn+1; turn++ {
-		if h := g.hub(turn); h != g.cfg.Ordinal {
-			g.do(Action{Type: Tell, Peer: h, Data: own})
+		if h := g.hub(turn); h == g.cfg.Ordinal {
+			gathers = g.gathers + 1
 		} else {
-			g.gathered = gathers
+			g.tell(h, peerReport, own)
 		}
 	}
-	if g.gathered < gathers {
-		g.gathered = 0
-		clear(g.digests)
-		for _, e := range g.list {
-			e.goodSum, e.badSum = 0, 0
-		}
+	if g.gathers = gathers; gathers == 0 {
+		clear(g.reports)
 		return
 	}
 	g.gather(g.cfg.Ordinal, own)
-	for _, e := range g.list {
-		fade := math.Exp2(-tellEvery.Seconds() / sickHalfLife.Seconds())
-		e.goodSum, e.badSum = e.goodSum*fade, e.badSum*fade
-	}
 	// Danger: a hub that has only begun knows few of its peers, and would tell of a calm that is none.
-	if g.gathered%2 == 0 && g.gathered > 2 {
+	if gathers > 2 && gathers%2 == 0 {
 		g.tellSums()
 	}
 }
 
-// tellSums passes on the sums of the digests, to this gateway too.
-func (g *Gateway) tellSums() {
-	sums := map[uint16]float64{}
-	sick, known := 0, 0
-	for _, d := range g.digests {
-		if g.now-d.at < 2*tellEvery {
-			for i := 1; i+digestSize <= len(d.data); i += digestSize {
-				sums[uint16(d.data[i])<<8|uint16(d.data[i+1])] += float64(d.data[i+2])
-			}
+// gather takes in a report.
+func (g *Gateway) gather(peer int, entries []peerEntry) {
+	g.reports[peer] = report{g.now, entries}
+	for _, n := range entries {
+		if e := g.byTag[n.tag]; e != nil {
+			e.goodSum += float64(n.good)
+			e.badSum += float64(n.bad)
 		}
 	}
-	// Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty in the sums and
-	// would draw every gateway. Where all look bad it is not the engines.
+}
+
+// tellSums passes on the sums of the reports, to this gateway too.
+// Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty and would draw every
+// gateway, so its load counts for more, and as the most where little good comes from it. Where little comes
+// from all, it is not the engines.
+func (g *Gateway) tellSums() {
+	good, bad := 0.0, 0.0
 	for _, e := range g.list {
-		if e.known {
-			known++
-			if e.badSum > sickLeast && e.badSum > e.goodSum {
-				sick++
+		e.sum = 0
+		good, bad = good+e.goodSum, bad+e.badSum
+	}
+	for _, r := range g.reports {
+		for _, n := range r.entries {
+			if e := g.byTag[n.tag]; e != nil && g.now-r.at < 2*tellEvery {
+				e.sum += n.load
 			}
 		}
 	}
+	var sums []peerEntry
 	for _, e := range g.list {
-		sums[e.tag] = math.Min(sums[e.tag]*(1+failWeight*e.badSum/(e.badSum+e.goodSum+1)), sickLoad-1)
-		if sick*2 < known && e.badSum > sickLeast && e.badSum > e.goodSum {
-			sums[e.tag] = sickLoad
+		load := math.Min(e.sum*(1+failWeight*e.badSum/(e.badSum+e.goodSum+1)), peerCap-1)
+		if bad < good && e.badSum > math.Max(sickLeast, e.goodSum) {
+			load = peerCap
 		}
-	}
-	out := []byte{tellSums}
-	for i, e := range g.list {
 		if e.known {
-			out = append(out, byte(e.tag>>8), byte(e.tag), byte(sums[e.tag]))
-		}
-		if len(out) > 1 && (len(out)+entrySize > tellMost || i == len(g.list)-1) {
-			g.do(Action{Type: Tell, Peer: -1, Data: out})
-			g.sumsTold(out)
-			out = []byte{tellSums}
-		}
-	}
-}
-
-// gather takes in a digest.
-func (g *Gateway) gather(peer int, data []byte) {
-	g.digests[peer] = digest{g.now, data}
-	for i := 1; i+digestSize <= len(data); i += digestSize {
-		for _, e := range g.byTag[uint16(data[i])<<8|uint16(data[i+1])] {
-			e.goodSum += float64(data[i+3] >> 4)
-			e.badSum += float64(data[i+3] & 15)
+			sums = append(sums, peerEntry{tag: e.tag, load: load})
 		}
+		e.goodSum, e.badSum = e.goodSum*sickKeep, e.badSum*sickKeep
 	}
+	g.tell(-1, peerSums, sums)
+	g.told(peerSums, sums)
 }
 
 func (g *Gateway) peerTold(ev *Event) {
+	m, entries := decodePeer(ev.Data)
 	switch {
-	case len(ev.Data) == 0 || ev.Peer < 0 || ev.Peer >= g.cfg.Gateways:
-	case ev.Data[0] == tellOwn:
-		g.gather(ev.Peer, slices.Clone(ev.Data))
-	case ev.Data[0] == tellSums:
-		g.sumsTold(ev.Data)
-	case ev.Data[0] == tellSent || ev.Data[0] == tellRelay:
-		for i := 1; i+entrySize <= len(ev.Data); i += entrySize {
-			for _, e := range g.byTag[uint16(ev.Data[i])<<8|uint16(ev.Data[i+1])] {
-				g.accrue(e)
-				e.recent += float64(ev.Data[i+2])
-				e.count[len(g.order)] += float64(ev.Data[i+2])
-			}
-		}
-		// A batch of a tick costs far less than a message to all for each query.
-		if ev.Data[0] == tellSent && len(g.relay)+len(ev.Data) <= tellMost {
-			g.relay = append(g.relay, ev.Data[1:]...)
-		}
+	case ev.Peer < 0 || ev.Peer >= g.cfg.Gateways:
+	case m == peerReport:
+		g.gather(ev.Peer, entries)
+	case m == peerSent:
+		g.relay = append(g.relay, entries...)
+		fallthrough
+	case m == peerRelay || m == peerSums:
+		g.told(m, entries)
 	}
 }
 
-func (g *Gateway) sumsTold(data []byte) {
+// told takes in the load of engines: sums replace what was known, sent queries add to it until the sums hold
+// them.
+func (g *Gateway) told(m peerMessage, entries []peerEntry) {
 	threads, cores := 0.0, 0.0
-	for i := 1; i+entrySize <= len(data); i += entrySize {
-		tag := uint16(data[i])<<8 | uint16(data[i+1])
-		for _, e := range g.byTag[tag] {
-			sum := float64(data[i+2])
-			if sum < sickLoad {
-				threads += sum
-				cores += e.kind.cores
-			}
-			g.accrue(e)
-			e.count[len(g.order)], e.toldAt = math.Max(0, sum-e.threads)+e.recent, g.now
+	for _, n := range entries {
+		e := g.byTag[n.tag]
+		if e == nil {
+			continue
+		}
+		g.accrue(e)
+		others := &e.count[len(g.order)]
+		if m != peerSums {
+			e.recent += n.load
+			*others += n.load
+			continue
+		}
+		if n.load < peerCap {
+			threads, cores = threads+n.load, cores+e.kind.cores
 		}
+		*others, e.toldAt = math.Max(0, n.load-e.threads)+e.recent, g.now
 	}
 	if cores > 0 {
 		g.crowd, g.toldAt = threads/cores, g.now
@@ -851,7 +656,7 @@
 			continue
 		}
 		wait = true
-		if full := g.pressure > 1 && g.threads >= g.bound; full || blocked[e] || g.bounded(e) {
+		if full := g.pressure > 1 && g.threads >= boundMost*g.part(); full || blocked[e] || g.bounded(e) {
 			blocked[e] = true
 			continue
 		}
@@ -893,15 +698,6 @@
 	e.latency += latencyGain * (ratio - e.latency)
 	latency := math.Exp(e.latency)
 	switch {
-	case g.pressure < 1 && g.fleet < math.Log(calmRatio):
-		if g.threads >= boundUsed*g.bound {
-			g.bound = math.Min(g.bound+boundStep*c.threads/g.bound, boundCores*g.cores)
-		}
-	case g.pressure > 1 && g.now > g.cutAt:
-		g.bound = math.Max(boundMost*g.part(), math.Min(g.bound, g.threads+c.threads)*boundCut)
-		g.cutAt = g.now + time.Duration(took*float64(time.Second))
-	}
-	switch {
 	case latency < calmRatio && !g.pressed:
 		if e.threads >= boundUsed*e.bound { // a bound that is not felt needs no widening
 			e.bound = math.Min(e.bound+boundStep*c.threads/e.bound, math.Max(boundCores*e.kind.cores, 1))
@@ -912,15 +708,6 @@
 	}
 }
 
-func (g *Gateway) hold(q *query) {
-	at := sort.Search(len(g.held), func(i int) bool {
-		h := g.held[i]
-		return h.deadline > q.deadline || h.deadline == q.deadline && h.id > q.id
-	})
-	g.held = slices.Insert(g.held, at, q)
-	q.held = true
-}
-
 // release lets held queries leave, earliest deadline first, and refuses those whose estimate no longer
 // fits. Newcomers pass through here too, so nothing overtakes an earlier deadline.
 func (g *Gateway) release() {
@@ -1033,29 +820,17 @@
 	g.do(Action{Type: Send, Query: q.id, Engine: e.ID})
 	// Danger: sums come too late for what outlasts them, and gateways would fill the same engines.
 	if g.cfg.MayTell && g.gateways > 1 && a.base*q.c.threads >= tellLeast {
-		entry := []byte{tellSent, byte(e.tag >> 8), byte(e.tag), byte(min(q.c.threads, 255))}
+		entry := []peerEntry{{tag: e.tag, load: q.c.threads}}
 		if h := g.hub(g.now / hubTurn); h != g.cfg.Ordinal {
-			g.do(Action{Type: Tell, Peer: h, Data: entry})
-		} else if len(g.relay)+entrySize <= tellMost {
-			g.relay = append(g.relay, entry[1:]...)
+			g.tell(h, peerSent, entry)
+		} else {
+			g.relay = append(g.relay, entry...)
 		}
 	}
-	if q.tries > 0 {
-		g.further = append(g.further, g.now)
-	}
-	q.tries++
-	q.out = append(q.out, a)
-	if q.key != nil {
-		q.key.running++
-	}
-	e.running = append(e.running, a)
-	e.count[q.c.index]++
-	e.threads += q.c.threads
-	g.threads += q.c.threads
 	if g.warmth(e) < 1 {
 		e.coldSent = append(e.coldSent, spent{g.now, q.c.work})
 	}
-	g.attempts[[2]uint64{uint64(q.id), uint64(a.trial)}] = a
+	g.begin(a)
 }
 
 func (g *Gateway) cancel(a *attempt) {
@@ -1086,40 +861,15 @@
 	g.forget(q)
 }
 
-func (g *Gateway) forget(q *query) {
-	q.done = true
-	delete(g.queries, q.id)
-	if q.held {
-		g.held = slices.DeleteFunc(g.held, func(h *query) bool { return h == q })
-		q.held = false
-	}
-	if k := q.key; k != nil {
-		k.line = slices.DeleteFunc(k.line, func(h *query) bool { return h == q })
-	}
-}
-
 func (g *Gateway) attemptDone(ev *Event) {
-	at := [2]uint64{uint64(ev.Query), uint64(ev.Attempt)}
-	a := g.attempts[at]
+	a := g.attempts[[2]uint64{uint64(ev.Query), uint64(ev.Attempt)}]
 	if a == nil {
 		return
 	}
-	delete(g.attempts, at)
+	g.end(a)
 	q, e := a.q, a.e
-	g.accrue(e)
-	e.count[q.c.index]--
-	if a.lost {
-		e.lost -= q.c.threads
-	}
-	e.threads -= q.c.threads
-	g.threads -= q.c.threads
-	same := func(v *attempt) bool { return v == a }
-	e.running, q.out = slices.DeleteFunc(e.running, same), slices.DeleteFunc(q.out, same)
-	if q.key != nil {
-		q.key.running--
-		if ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled {
-			q.key.rest = max(q.key.rest, g.now+g.cfg.Rules.OrderRest)
-		}
+	if q.key != nil && (ev.Outcome == TimedOut || ev.Outcome == Reset || ev.Outcome == Cancelled) {
+		q.key.rest = max(q.key.rest, g.now+g.cfg.Rules.OrderRest)
 	}
 	if !ev.Outcome.NeverRan() && (q.doubt == nil || a.at < q.doubt.at) {
 		q.doubt = a
--- /dev/null
+++ b/state.go
@@ -0,0 +1,231 @@
+package cresspass
+
+// State of a gateway: what it holds of classes, engines, queries and peers. Decisions are in gateway.go.
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"time"
+)
+
+type class struct {
+	Class
+	index   int
+	threads float64
+	loads   bool
+	scale   float64       // unloaded time over the told estimate (or over the aim where none is told)
+	seen    float64       // outcomes that have corrected it
+	work    float64       // mean work of a query, in thread seconds
+	grant   float64       // memory granted over the told estimate
+	wait    time.Duration // longest wait of a try seen
+}
+
+type kind struct {
+	cores, memory float64     // memory in MB
+	weights       [][]float64 // per class: time a running query of each class adds, over base, per core
+}
+
+type engine struct {
+	EngineInfo
+	kind    *kind
+	tag     uint16 // stands for its ID in messages
+	known   bool   // on the present list and neither draining nor gone
+	own     [][]float64
+	running []*attempt
+
+	count, area           []float64     // this gateway's running queries per class; their integral in seconds
+	threads, bound        float64       // threads running; threads this gateway may run under pressure
+	slow, latency         float64       // logs: fast-moving slowness; recent latency over best
+	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
+	full                  time.Duration // under pressure until then: it turned work away
+	toldAt                time.Duration // when others' threads were last told
+	recent                float64       // threads told as just sent, fading into the sums
+	sum                   float64       // threads of all gateways, while this one is a hub
+	goodSum, badSum       float64       // the same of all gateways, fading, while this one is a hub
+	good, bad             int           // answers, and failures or lost answers, since the last digest
+	lost                  float64       // threads of attempts taken for lost
+
+	failing            float64       // recent share of failed attempts
+	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
+	heard              time.Duration // last sign of life
+	sick, probing      bool
+	trial              bool // open to one trial query at a time
+	shunUntil, shunFor time.Duration
+	coldSent           []spent
+}
+
+type spent struct {
+	at   time.Duration
+	work float64
+}
+
+type attempt struct {
+	q         *query
+	e         *engine
+	trial     int
+	at        time.Duration
+	base, est float64 // seconds
+	grant     float64
+	area      []float64 // the engine's integral of the mix when it was sent
+	late      float64   // next multiple of the estimate at which it counts as overdue
+
+	cancelled, spilled, lost bool
+}
+
+type query struct {
+	id     QueryID
+	c      *class
+	tables float64
+	key    *orderKey
+	out    []*attempt
+	avoid  *engine  // where its last attempt ended
+	doubt  *attempt // earliest attempt that may have run
+
+	deadline, taken, waited time.Duration // waited: what the client had waited in earlier tries
+	unit, memory            float64       // told estimate over threads, or the aim, in seconds; told MB
+	tries, kills            int
+	over, told, held, done  bool // over: beyond its tenant's share; told: its cost was estimated
+}
+
+type orderKey struct {
+	line    []*query
+	running int
+	rest    time.Duration
+}
+
+type bucket struct {
+	level, rate float64
+	at          time.Duration
+}
+
+// report is what a peer told of what it runs.
+type report struct {
+	at      time.Duration
+	entries []peerEntry
+}
+
+// Gateway decides for one gateway. It is not safe for concurrent use.
+type Gateway struct {
+	cfg      Config
+	now      time.Duration
+	out      []Action
+	classes  map[string]*class
+	order    []*class
+	kinds    map[string]*kind
+	engines  map[EngineID]*engine
+	list     []*engine // all engines known, by ID
+	byTag    map[uint16]*engine
+	queries  map[QueryID]*query
+	attempts map[[2]uint64]*attempt
+	held     []*query // earliest deadline first
+	keys     map[string]*orderKey
+	tenants  map[string]*bucket
+	scratch  []float64
+	random   *rand.Rand
+	askAt    time.Duration
+	started  bool
+
+	gateways       float64
+	fleet          float64 // log of the fleet's slowness, of which an engine's own is a deviation
+	threads        float64 // ours running on all engines
+	cores          float64 // told cores of all engines on the list
+	crowd          float64 // threads a core over the whole fleet, as told
+	reports        map[int]report
+	talkAt         time.Duration
+	relay          []peerEntry // entries of sent queries to pass on
+	gathers        int         // reports sent since this gateway last became a hub; 0: it is none
+	sickAll        bool        // so many engines are sick that it is the fleet
+	pressed        bool        // the fleet is under pressure
+	pressure       float64
+	margin         float64
+	toldAt         time.Duration
+	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
+}
+
+// newWeights returns zero weights. The last column is for the threads of other gateways, all classes
+// together: no gateway sees them run, so where they are told their weight does not start at zero.
+func (g *Gateway) newWeights(others float64) [][]float64 {
+	w := make([][]float64, len(g.order))
+	for i := range w {
+		w[i] = make([]float64, len(g.order)+1)
+		w[i][len(g.order)] = others
+	}
+	return w
+}
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (g *Gateway) timer(in time.Duration, label uint64) {
+	g.do(Action{Type: SetTimer, Wait: max(in, time.Microsecond), Label: label})
+}
+
+// accrue brings the integral of an engine's mix up to now.
+func (g *Gateway) accrue(e *engine) {
+	for j, n := range e.count {
+		e.area[j] += n * (g.now - e.areaAt).Seconds()
+	}
+	e.areaAt = g.now
+}
+
+func (g *Gateway) hold(q *query) {
+	at := sort.Search(len(g.held), func(i int) bool {
+		h := g.held[i]
+		return h.deadline > q.deadline || h.deadline == q.deadline && h.id > q.id
+	})
+	g.held = slices.Insert(g.held, at, q)
+	q.held = true
+}
+
+func (g *Gateway) forget(q *query) {
+	q.done = true
+	delete(g.queries, q.id)
+	if q.held {
+		g.held = slices.DeleteFunc(g.held, func(h *query) bool { return h == q })
+		q.held = false
+	}
+	if k := q.key; k != nil {
+		k.line = slices.DeleteFunc(k.line, func(h *query) bool { return h == q })
+	}
+}
+
+func (g *Gateway) tell(peer int, m peerMessage, entries []peerEntry) {
+	for _, data := range encodePeer(m, entries) {
+		g.do(Action{Type: Tell, Peer: peer, Data: data})
+	}
+}
+
+// begin keeps the books of an attempt being sent, end those of one that got its outcome.
+func (g *Gateway) begin(a *attempt) {
+	q, e := a.q, a.e
+	if q.tries > 0 {
+		g.further = append(g.further, g.now)
+	}
+	q.tries++
+	q.out = append(q.out, a)
+	if q.key != nil {
+		q.key.running++
+	}
+	e.running = append(e.running, a)
+	e.count[q.c.index]++
+	e.threads += q.c.threads
+	g.threads += q.c.threads
+	g.attempts[[2]uint64{uint64(q.id), uint64(a.trial)}] = a
+}
+
+func (g *Gateway) end(a *attempt) {
+	q, e := a.q, a.e
+	delete(g.attempts, [2]uint64{uint64(q.id), uint64(a.trial)})
+	g.accrue(e)
+	e.count[q.c.index]--
+	e.threads -= q.c.threads
+	g.threads -= q.c.threads
+	if a.lost {
+		e.lost -= q.c.threads
+	}
+	if q.key != nil {
+		q.key.running--
+	}
+	same := func(v *attempt) bool { return v == a }
+	e.running, q.out = slices.DeleteFunc(e.running, same), slices.DeleteFunc(q.out, same)
+}
