Weights and base learn again what all engines share; the fleet's slowness counts only where outcomes are few

Cause: slowness of the fleet was taken from the residual before weights and base could learn it. Chance among like engines now grows with what an engine hides from us. Weight of others' threads from 0.25 instead of 0.5.

--- a/gateway.go
+++ b/gateway.go
@@ -25,7 +25,7 @@
 	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
 	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
 	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
-	othersStart  = 0.5  // weight of a thread of other gateways, over base and per core, before any outcome
+	othersStart  = 0.25 // weight of a thread of other gateways, over base and per core, before any outcome
 	crowdBest    = 1.6  // threads a core over the whole fleet that the margin aims at
 	slowBest     = 2.0  // slowness of the fleet that it aims at where threads are not told
 	marginGain   = 0.5  // part of the pressure's logarithm that the margin takes up a second
@@ -36,7 +36,6 @@
 	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
 	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
 	newsHalfLife = 2 * time.Second        // of what peers told
-	anchorLeast  = 0.1                    // part of its gain a base keeps while the fleet is slow
 	slowHalfLife = 8 * time.Second
 	lostRatio    = 4.0 // ...and this many times over, its answer is taken for lost
 	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
@@ -266,6 +265,7 @@
 		g.ask()
 	}
 	g.talk()
+	g.scratch = g.scratch[:0]
 	g.crowd *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
@@ -288,7 +288,7 @@
 			// Danger: a slow engine answers nothing for long, so its slowness would go unseen.
 			if age > a.late*a.est && !a.cancelled {
 				seen := math.Log(a.late * a.est / a.base)
-				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.fleet-e.slow)
+				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
 				e.slow += slowGain * miss
 				g.fleetSeen(seen - e.slow)
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
@@ -306,6 +306,9 @@
 		if !e.known {
 			continue
 		}
+		if !e.sick {
+			g.scratch = append(g.scratch, e.slow)
+		}
 		if all++; e.latency > math.Log(pressureRatio) {
 			pressed++
 		}
@@ -329,6 +332,9 @@
 		}
 	}
 	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
+	if sort.Float64s(g.scratch); len(g.scratch) > 0 {
+		g.median = g.scratch[len(g.scratch)/2]
+	}
 	g.sickAll = sick*2 > all
 	g.pressure = math.Exp(g.fleet) / slowBest
 	step := -1.0 // without news the margin falls back: slowness alone may be no overload, and stay
@@ -340,6 +346,14 @@
 	g.pressed = g.pressure > 1 || pressed*pressedOf > all
 }
 
+// hidden is how much of an engine our own queries leave in the dark: near 1 where our part of its cores is
+// small, near 0 where it is several.
+func (g *Gateway) hidden(e *engine) float64 { return math.Pow(1+e.kind.cores/g.gateways, -2) }
+
+// slowness is the logarithm by which an engine is slower than its mix explains: by its own outcomes, and by
+// the fleet's as far as its own leave us in the dark.
+func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*g.fleet }
+
 // fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
 // it becomes overdue.
 func (g *Gateway) fleetSeen(ratio float64) {
@@ -369,7 +383,7 @@
 func (g *Gateway) estimate(q *query, e *engine) float64 {
 	i := q.c.index
 	e.count[i]++
-	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(g.fleet+e.slow) / g.warmth(e)
+	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(g.slowness(e)) / g.warmth(e)
 	e.count[i]--
 	if q.c.loads {
 		// Danger: a load stands still while another holds its tables there.
@@ -402,7 +416,7 @@
 	// Errors are taken in logarithms and clipped: queries are widely spread, and one runaway must not
 	// move the weights. Base and weights share the error, else they drift apart.
 	limit := math.Log(robustRatio)
-	miss := min(max(math.Log(seen/want)-g.fleet-e.slow, -limit), limit)
+	miss := min(max(math.Log(seen/want)-e.slow+g.median, -limit), limit)
 	used := 0.0
 	for j, v := range x {
 		threads := 1.0
@@ -417,17 +431,12 @@
 	}
 	g.scratch = x
 	// The base is the unloaded time, so only outcomes that met little of ours correct it.
-	// Danger: where many gateways share the engines, ours are few on each also in an overload, and the base
-	// would take the overload for normal; so ours on all engines count as well.
-	load := math.Max((used-c.threads)/g.boundStart(e), (g.threads-c.threads)/g.part())
-	if g.now-g.toldAt < newsHalfLife {
-		load = g.crowd
-	}
-	if light := math.Max(1-load, anchorLeast); light > 0 {
+	if light := 1 - (used-c.threads)/g.boundStart(e); light > 0 {
 		c.seen += light
 		c.scale *= math.Exp(light * math.Max(baseGain, 1/(c.seen+2)) * miss)
 	}
-	e.slow += slowGain * miss
+	slow := math.Log(seen/want) - g.hidden(e)*g.fleet
+	e.slow += slowGain * (min(max(slow, -limit), limit) - e.slow)
 	if a.late == lateRatio {
 		g.fleetSeen(math.Log(seen/want) - e.slow)
 	}
@@ -630,14 +639,15 @@
 	var bestIdle, usable bool
 	left := g.timeLeft(q)
 	caution := g.margin * math.Max(1, g.pressure)
-	// The more gateways there are, the less an engine that runs none of ours is likely to be idle.
-	try := g.random.Float64() < 1/g.gateways
+	try := g.random.Float64()
 	margin := 1.0
 	if g.pressed && q.told {
 		// Danger: in an overload a few very long queries take the room of many; each earns no more than one.
 		size := g.base(q) * q.c.threads / q.c.work
 		margin = math.Pow(math.Max(1, size/sizeFair), 2)
 	}
+	// An engine that runs none of ours has our part of its cores free, and takes the next; where that part is
+	// smaller than the query, by a chance only.
 	for _, e := range g.list {
 		if !g.mayUse(q, e) {
 			continue
@@ -652,7 +662,7 @@
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est*margin*caution > left && !(idle && try && margin <= marginIdle && (left > 0 || q.c.LateValue > 0)) {
+		if est*margin*caution > left && !(idle && try < e.kind.cores/g.gateways/q.c.threads && margin <= marginIdle && (left > 0 || q.c.LateValue > 0)) {
 			continue
 		}
 		wait = true
@@ -668,7 +678,7 @@
 		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
 		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
 		// Danger: many gateways with like views would all pick the same engine.
-		cost *= 1 + tieSpread/q.c.threads*g.random.Float64()
+		cost *= 1 + g.hidden(e)*tieSpread/q.c.threads*g.random.Float64()
 		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
 			best, bestCost, bestIdle = e, cost, idle
 		}
--- a/state.go
+++ b/state.go
@@ -135,6 +135,7 @@
 	talkAt         time.Duration
 	relay          []peerEntry // entries of sent queries to pass on
 	gathers        int         // reports sent since this gateway last became a hub; 0: it is none
+	median         float64     // of the engines' slowness
 	sickAll        bool        // so many engines are sick that it is the fleet
 	pressed        bool        // the fleet is under pressure
 	pressure       float64
