--- a/gateway.go
+++ b/gateway.go
@@ -15,71 +15,75 @@
 const (
 	tickEvery   = 50 * time.Millisecond // pace of the periodic look at what is running
 	expiryTicks = 2                     // final answers leave this many batch ticks before the deadline
-
-	baseGain     = 0.04 // least gain of a class's base; higher while it has seen few outcomes
-	kindGain     = 0.10 // gain of a kind's average weights
-	engineGain   = 0.05 // gain of an engine's own deviation from its kind
-	firstTry     = 0.98 // a try that may last less than this share of the longest seen is a later one
-	unitLeast    = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
-	robustRatio  = 4.0  // an outcome counts as at most this many times its estimate: no runaway moves the fit
-	weightMost   = 4.0  // a query adds at most this many times its own threads' share of an engine
-	slowGain     = 0.12 // gain of an engine's slowness, much faster than the weights
-	fleetGain    = 0.08 // gain of the fleet's slowness, fed by every outcome
-	othersStart  = 0.25 // weight of a thread of other gateways, over base and per core, before any outcome
-	crowdBest    = 1.6  // threads a core over the whole fleet that the margin aims at
-	slowBest     = 2.0  // slowness of the fleet that it aims at where threads are not told
-	marginGain   = 0.5  // part of the pressure's logarithm that the margin takes up a second
-	sickLeast    = 3.0  // failures or lost answers of late from which peers may call an engine sick
-	sickKeep     = 0.8  // part of the evidence for it that is kept each time sums are told
-	marginMost   = 8.0
-	tellEvery    = 500 * time.Millisecond // pace of messages to peers
-	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
-	hubTurn      = 5 * time.Second        // how long a gateway gathers and passes on what its peers tell
-	newsHalfLife = 2 * time.Second        // of what peers told
-	slowHalfLife = 8 * time.Second
-	lostRatio    = 4.0 // ...and this many times over, its answer is taken for lost
-	lateRatio    = 2.0 // a running query this many times over its estimate counts as a lower bound
-	meanGain     = 0.05
-
+	askRetry    = 500 * time.Millisecond
+
+	// The fit.
+	baseGain    = 0.04 // least gain of a class's base; higher while it has seen few outcomes
+	kindGain    = 0.10 // gain of a kind's average weights
+	engineGain  = 0.05 // gain of an engine's own deviation from its kind
+	meanGain    = 0.05 // gain of a class's mean work
+	firstTry    = 0.98 // a try that may last less than this share of the longest seen is a later one
+	unitLeast   = 0.02 // least base, in parts of the aim: below, travel and handshakes rule the time
+	robustRatio = 4.0  // an outcome counts as at most this many times its estimate
+	weightMost  = 4.0  // a query adds at most this many times its own threads' share of an engine
+	othersStart = 0.25 // weight of a thread of other gateways, over base and per core, before any outcome
+	slowGain    = 0.12 // gain of an engine's slowness, much faster than the weights
+	fleetGain   = 0.08 // gain of the fleet's slowness, fed by every outcome
+	lateRatio   = 2.0  // a running query this many times over its estimate counts as a lower bound
+	lostRatio   = 4.0  // one so many times over, its answer is taken for lost
+
+	// Pressure and margin.
+	slowHalfLife  = 8 * time.Second // of slowness
+	slowBest      = 2.0             // slowness of the fleet that is no pressure, where threads are untold
+	crowdBest     = 1.6             // told threads a core over the fleet that the margin aims at
+	marginGain    = 0.5             // part of the pressure's logarithm that the margin takes up a second
+	marginMost    = 8.0
+	marginIdle    = 2.0 // a query with a wider margin than this has no claim to an idle engine
+	sizeFair      = 0.7 // part of its class's mean work from which a query's margin grows in an overload
+	pressedOf     = 3   // one engine in this many under pressure is an overload of the fleet
 	pressureRatio = 2.0 // latency over best from which the thread bound binds
 	calmRatio     = 1.5 // latency over best under which it widens
 	latencyGain   = 0.15
-	boundStep     = 1.0 // threads added for each bound's worth of outcomes near best
-	boundMost     = 2.0 // from this many times its start it binds always...
-	boundCores    = 1.5 // ...unless calm outcomes have widened it further, to this many threads a core
-	boundUsed     = 0.5 // it widens only while this share of it is in use
-	boundCut      = 0.9 // the bound shrinks to this share, at most once a typical latency
-	fullPressure  = time.Second
-
-	pressedOf   = 3   // one engine in this many under pressure is an overload of the fleet
+	fullPressure  = time.Second // an engine that turned work away is under pressure for so long
+	boundStep     = 1.0         // threads added for each bound's worth of outcomes near best
+	boundMost     = 2.0         // from this many times its start it binds always...
+	boundCores    = 1.5         // ...unless calm outcomes have widened it, to this many threads a core
+	boundUsed     = 0.5         // it widens only while this share of it is in use
+	boundCut      = 0.9         // the bound shrinks to this share, at most once a typical latency
+	spreadWeight  = 1.0         // an estimate counts as this much more where we fill our part of the cores
+	tieSpread     = 1.0         // estimates this close, as a share, are alike: chance decides among them
+	quotaBurst    = 2.0         // seconds of a tenant's share that may come at once...
+	quotaLeast    = 8.0         // ...and this many queries more: a small part of a share comes in clumps
+
+	// What peers tell.
+	tellEvery    = 500 * time.Millisecond // pace of reports to the hub
+	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
+	hubTurn      = 5 * time.Second        // how long a gateway is the hub
+	newsHalfLife = 2 * time.Second        // of what was told
+	sickLeast    = 3.0                    // failures and lost answers that may call an engine sick
+	sickKeep     = 0.8                    // part of the evidence kept each time sums are told
+
+	// Health.
 	failGain    = 0.2 // gain of an engine's share of failed attempts
 	failSick    = 0.4 // share of failures from which an engine is sick
-	failStreak  = 3   // failures in a row from which an engine is sick
+	failStreak  = 3   // failures in a row from which it is sick
 	failWeight  = 4.0 // an estimate grows by this times the failure share...
 	failFinal   = 16.0
-	silentRatio = 3.0 // an attempt this far over its estimate, with nothing heard since, is a sign of silence
+	silentRatio = 3.0 // an attempt this far over its estimate, nothing heard since, is a sign of silence
 	silentLeast = 700 * time.Millisecond
 	silentCount = 2 // attempts that must show silence
+	trialsGood  = 2 // answered trials after which an engine is well again
 	shunFirst   = time.Second
 	shunMost    = 5 * time.Second
-	trialsGood  = 2 // answered trials after which an engine is well again
-
-	coldSlack    = 0.5  // part of the cold budget used, for chance and mistaken work
-	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
-	killRatio    = 2.5  // a projected run this many times over its estimate is a bad plan
-	killGain     = 1.3  // what is left must exceed a fresh run's estimate by this ratio
-	killsMost    = 2    // a query that is long every time is just long
-	grantStart   = 1.25 // memory granted over the estimate, adapted by class
-	grantUp      = 0.06
-	grantDown    = 0.01
-	marginIdle   = 2.0 // a query with a wider margin than this has no claim to an idle engine
-	sizeFair     = 0.7 // part of its class's mean work from which a query's margin grows in an overload
-	spreadWeight = 1.0 // an estimate counts as this much more where our threads fill our part of the cores
-	tieSpread    = 1.0 // estimates this close, as a share, are alike: chance decides among them
-	quotaLeast   = 8.0 // queries that may come at once at any rate: a small part of a share comes in clumps
-	quotaBurst   = 2.0 // seconds of a tenant's share that may come at once
-	askRetry     = 500 * time.Millisecond
-	topRank      = 3
+	coldSlack   = 0.5  // part of the cold budget used, for chance and mistaken work
+	cpuShare    = 0.85 // a capacity is the rate at which cores are this busy
+	killRatio   = 2.5  // a projected run this many times over its estimate is a bad plan
+	killGain    = 1.3  // what is left must exceed a fresh run's estimate by this ratio
+	killsMost   = 2    // a query that is long every time is just long
+	grantStart  = 1.25 // memory granted over the estimate, adapted by class
+	grantUp     = 0.06
+	grantDown   = 0.01
+	topRank     = 3
 )
 
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
@@ -88,7 +92,8 @@
 		return nil, err
 	}
 	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
-		engines: map[EngineID]*engine{}, byTag: map[uint16]*engine{}, queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
+		engines: map[EngineID]*engine{}, byTag: map[uint16]*engine{},
+		queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, reports: map[int]report{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
 		margin:   1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
@@ -126,33 +131,6 @@
 	return out
 }
 
-func (g *Gateway) take(ev *Event) {
-	switch ev.Type {
-	case EngineList:
-		g.listed(ev)
-	case QueryTaken:
-		g.queryTaken(ev)
-	case TimerDue:
-		if ev.Label == 0 {
-			g.watch()
-		} else if q := g.queries[QueryID(ev.Label-1)]; q != nil && g.now >= q.deadline-g.expiry() {
-			g.finish(q)
-		}
-	case ProbeDone:
-		g.probed(ev)
-	case PeerMessage:
-		g.peerTold(ev)
-	case AttemptDone:
-		g.attemptDone(ev)
-	case Progress:
-		g.progress(ev)
-	case ClientGone:
-		if q := g.queries[ev.Query]; q != nil {
-			g.forget(q)
-		}
-	}
-}
-
 func (g *Gateway) expiry() time.Duration { return expiryTicks * max(g.cfg.Tick, time.Millisecond) }
 
 // Engine view and health.
@@ -178,13 +156,7 @@
 		info := &ev.Engines[i]
 		e := g.engines[info.ID]
 		if e == nil {
-			e = &engine{tag: engineTag(info.ID)}
-			g.engines[info.ID] = e
-			g.byTag[e.tag] = e
-			at := sort.Search(len(g.list), func(i int) bool { return g.list[i].ID >= info.ID })
-			g.list = slices.Insert(g.list, at, e)
-			g.reset(e, info)
-			e.count, e.area = make([]float64, len(g.order)+1), make([]float64, len(g.order)+1)
+			e = g.enlist(info)
 		} else if info.Started > e.Started {
 			g.reset(e, info) // its process is new: nothing learnt of the old one holds
 		}
@@ -199,28 +171,6 @@
 	}
 }
 
-// reset makes an engine as good as new: its own weights zero, so that its kind's average stands.
-func (g *Gateway) reset(e *engine, info *EngineInfo) {
-	k := g.kinds[info.Kind]
-	if k == nil {
-		k = &kind{cores: 1, weights: g.newWeights(othersStart)}
-		g.kinds[info.Kind] = k
-	}
-	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(0), 0, 0, 0, 0
-	e.bound = g.boundStart(e)
-	e.sick, e.probing, e.trial, e.shunFor = false, false, false, 0
-	e.heard, e.slowAt = g.now, g.now
-}
-
-// warmth is the share of its capacity a started engine has at least.
-func (g *Gateway) warmth(e *engine) float64 {
-	age, r := g.now-e.Started, &g.cfg.Rules
-	if e.Started <= 0 || r.ColdFor <= 0 || age >= r.ColdFor || r.ColdFrom <= 0 {
-		return 1
-	}
-	return r.ColdFrom + (1-r.ColdFrom)*math.Max(0, age.Seconds())/r.ColdFor.Seconds()
-}
-
 // health takes in whether an attempt was answered. Failures are evidence about the engine, never about
 // interference, so they stay out of the fit.
 func (g *Gateway) health(e *engine, ok bool) {
@@ -259,28 +209,23 @@
 // watch looks at what is running: silent engines, overdue queries, the fleet's median slowness.
 func (g *Gateway) watch() {
 	g.timer(tickEvery, 0)
-	g.fleet *= math.Exp2(-tickEvery.Seconds() / slowHalfLife.Seconds())
+	g.fleet *= kept(slowHalfLife)
 	g.budgetLeft() // forgets what has left its window, also while nothing is tried again
 	if g.cfg.AskList && g.now >= g.askAt {
 		g.ask()
 	}
 	g.talk()
 	g.scratch = g.scratch[:0]
-	g.crowd *= math.Exp2(-tickEvery.Seconds() / newsHalfLife.Seconds())
+	g.crowd *= kept(newsHalfLife)
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
-		g.decay(e)
-		fade := 1 - math.Exp2(-tickEvery.Seconds()/newsHalfLife.Seconds())
-		if e.recent > 0 {
-			g.accrue(e)
-			less := e.recent * (1 - math.Exp2(-tickEvery.Seconds()/tellEvery.Seconds()))
-			e.recent -= less
-			e.count[len(g.order)] = math.Max(0, e.count[len(g.order)]-less)
-		}
+		e.slow *= kept(slowHalfLife)
+		g.accrue(e)
+		others, less := &e.count[len(g.order)], e.recent*(1-kept(tellEvery))
+		e.recent, *others = e.recent-less, math.Max(0, *others-less)
 		// Danger: an engine of which nothing is told would look free; it is taken to be like the others.
-		if others := &e.count[len(g.order)]; g.now-e.toldAt > newsHalfLife {
-			g.accrue(e)
-			*others += fade * (g.crowd*e.kind.cores - *others)
+		if g.now-e.toldAt > newsHalfLife {
+			*others += (1 - kept(newsHalfLife)) * (g.crowd*e.kind.cores - *others)
 		}
 		silent := 0
 		for _, a := range e.running {
@@ -346,6 +291,9 @@
 	g.pressed = g.pressure > 1 || pressed*pressedOf > all
 }
 
+// kept is the share of a value kept from tick to tick, given its half-life.
+func kept(half time.Duration) float64 { return math.Exp2(-tickEvery.Seconds() / half.Seconds()) }
+
 // hidden is how much of an engine our own queries leave in the dark: near 1 where our part of its cores is
 // small, near 0 where it is several.
 func (g *Gateway) hidden(e *engine) float64 { return math.Pow(1+e.kind.cores/g.gateways, -2) }
@@ -361,11 +309,6 @@
 	g.fleet += fleetGain * min(max(ratio-g.fleet, -limit), limit)
 }
 
-func (g *Gateway) decay(e *engine) {
-	e.slow *= math.Exp2(-(g.now - e.slowAt).Seconds() / slowHalfLife.Seconds())
-	e.slowAt = g.now
-}
-
 // Mix model.
 
 func (g *Gateway) base(q *query) float64 { return q.unit * q.c.scale }
@@ -403,14 +346,7 @@
 	if took <= 0 || a.base <= 0 {
 		return
 	}
-	g.decay(e)
-	x := g.scratch[:0]
-	norm := 1.0
-	for j := range e.area {
-		v := (e.area[j] - a.area[j]) / took
-		x = append(x, v)
-		norm += v * v / (e.kind.cores * e.kind.cores)
-	}
+	x, norm := g.met(a, took)
 	want := 1 + e.mix(c.index, x)
 	seen := took * g.warmth(e) / a.base
 	// Errors are taken in logarithms and clipped: queries are widely spread, and one runaway must not
@@ -429,7 +365,6 @@
 		e.kind.weights[c.index][j] = min(max(e.kind.weights[c.index][j]+kindGain*step, 0), most)
 		e.own[c.index][j] = min(max(e.own[c.index][j]+engineGain*step, -most), most)
 	}
-	g.scratch = x
 	// The base is the unloaded time, so only outcomes that met little of ours correct it.
 	if light := 1 - (used-c.threads)/g.boundStart(e); light > 0 {
 		c.seen += light
@@ -444,8 +379,8 @@
 }
 
 // Evidence of peers. At full size one gateway's queries tell nearly nothing of an engine, so gateways report
-// to a hub, a part that goes round, what they run where and how it ended, and the hub tells all the sums. What
-// is lost or stale fades, and decisions then rest on what a gateway sees itself.
+// to a hub, a part that goes round, what they run where and how it ended; the hub tells all the sums. What is
+// lost or stale fades, and decisions then rest on what a gateway sees itself.
 
 // hub returns the gateway that gathers in a turn.
 func (g *Gateway) hub(turn time.Duration) int {
@@ -500,9 +435,9 @@
 }
 
 // tellSums passes on the sums of the reports, to this gateway too.
-// Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty and would draw every
-// gateway, so its load counts for more, and as the most where little good comes from it. Where little comes
-// from all, it is not the engines.
+// Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty and would draw
+// all, so its load counts for more, and as the most where little good comes from it. Where little comes from
+// all, it is not the engines.
 func (g *Gateway) tellSums() {
 	good, bad := 0.0, 0.0
 	for _, e := range g.list {
@@ -600,20 +535,10 @@
 	g.queries[q.id] = q
 	g.taken = append(g.taken, g.now)
 	if b := g.tenants[ev.Tenant]; b != nil && b.rate > 0 {
-		b.level = math.Min(quotaLeast+b.rate*quotaBurst, b.level+b.rate*(g.now-b.at).Seconds())
-		b.at = g.now
-		if q.over = b.level < 1; !q.over {
-			b.level--
-		}
+		q.over = !b.take(g.now, quotaLeast+b.rate*quotaBurst)
 	}
 	if c.InOrder && ev.Key != "" {
-		k := g.keys[ev.Key]
-		if k == nil {
-			k = &orderKey{}
-			g.keys[ev.Key] = k
-		}
-		k.line = append(k.line, q)
-		q.key = k
+		g.lineUp(q, ev.Key)
 	}
 	g.hold(q)
 	if ev.TimeLeft <= g.expiry() {
@@ -655,14 +580,11 @@
 		if e.sick && !g.sickAll && (!e.trial || len(e.running) > 0 || q.c.Effect == Unsafe) {
 			continue
 		}
-		if e == q.avoid && len(g.list) > 1 {
-			wait = true
-			continue
-		}
 		usable = true
 		idle := len(e.running) == 0
 		est := g.estimate(q, e)
-		if est*margin*caution > left && !(idle && try < e.kind.cores/g.gateways/q.c.threads && margin <= marginIdle && (left > 0 || q.c.LateValue > 0)) {
+		trial := idle && margin <= marginIdle && try < e.kind.cores/g.gateways/q.c.threads
+		if est*margin*caution > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
 			continue
 		}
 		wait = true
@@ -677,6 +599,9 @@
 		// Danger: while weights are small all estimates are alike, and the engine that looks fastest
 		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
 		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
+		if e == q.avoid { // only where there is no other
+			cost, idle = cost*failFinal, false
+		}
 		// Danger: many gateways with like views would all pick the same engine.
 		cost *= 1 + g.hidden(e)*tieSpread/q.c.threads*g.random.Float64()
 		if best == nil || idle && !bestIdle || idle == bestIdle && cost < bestCost {
--- a/state.go
+++ b/state.go
@@ -3,6 +3,7 @@
 // State of a gateway: what it holds of classes, engines, queries and peers. Decisions are in gateway.go.
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -34,17 +35,17 @@
 	own     [][]float64
 	running []*attempt
 
-	count, area           []float64     // this gateway's running queries per class; their integral in seconds
-	threads, bound        float64       // threads running; threads this gateway may run under pressure
-	slow, latency         float64       // logs: fast-moving slowness; recent latency over best
-	areaAt, slowAt, cutAt time.Duration // when area, slow and bound were last changed
-	full                  time.Duration // under pressure until then: it turned work away
-	toldAt                time.Duration // when others' threads were last told
-	recent                float64       // threads told as just sent, fading into the sums
-	sum                   float64       // threads of all gateways, while this one is a hub
-	goodSum, badSum       float64       // the same of all gateways, fading, while this one is a hub
-	good, bad             int           // answers, and failures or lost answers, since the last digest
-	lost                  float64       // threads of attempts taken for lost
+	count, area     []float64     // this gateway's running queries per class; their integral in seconds
+	threads, bound  float64       // threads running; threads this gateway may run under pressure
+	slow, latency   float64       // logs: fast-moving slowness; recent latency over best
+	areaAt, cutAt   time.Duration // when area and bound were last changed
+	full            time.Duration // under pressure until then: it turned work away
+	toldAt          time.Duration // when others' threads were last told
+	recent          float64       // threads told as just sent, fading into the sums
+	sum             float64       // threads of all gateways, while this one is a hub
+	goodSum, badSum float64       // the same of all gateways, fading, while this one is a hub
+	good, bad       int           // answers, and failures or lost answers, since the last digest
+	lost            float64       // threads of attempts taken for lost
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -230,3 +231,97 @@
 	same := func(v *attempt) bool { return v == a }
 	e.running, q.out = slices.DeleteFunc(e.running, same), slices.DeleteFunc(q.out, same)
 }
+
+// reset makes an engine as good as new: its own weights zero, so that its kind's average stands.
+func (g *Gateway) reset(e *engine, info *EngineInfo) {
+	k := g.kinds[info.Kind]
+	if k == nil {
+		k = &kind{cores: 1, weights: g.newWeights(othersStart)}
+		g.kinds[info.Kind] = k
+	}
+	e.kind, e.own, e.latency, e.slow, e.failing, e.streak = k, g.newWeights(0), 0, 0, 0, 0
+	e.bound = g.boundStart(e)
+	e.sick, e.probing, e.trial, e.shunFor = false, false, false, 0
+	e.heard = g.now
+}
+
+// enlist makes room for an engine never seen before.
+func (g *Gateway) enlist(info *EngineInfo) *engine {
+	e := &engine{tag: engineTag(info.ID)}
+	e.count, e.area = make([]float64, len(g.order)+1), make([]float64, len(g.order)+1)
+	g.engines[info.ID], g.byTag[e.tag] = e, e
+	at := sort.Search(len(g.list), func(i int) bool { return g.list[i].ID >= info.ID })
+	g.list = slices.Insert(g.list, at, e)
+	g.reset(e, info)
+	return e
+}
+
+// met returns the average mix that an attempt met, and its length over cores, squared, plus one.
+func (g *Gateway) met(a *attempt, took float64) (mix []float64, norm float64) {
+	mix, norm = g.scratch[:0], 1
+	for j := range a.e.area {
+		v := (a.e.area[j] - a.area[j]) / took
+		mix = append(mix, v)
+		norm += v * v / (a.e.kind.cores * a.e.kind.cores)
+	}
+	g.scratch = mix
+	return mix, norm
+}
+
+// lineUp puts a query at the end of its key's line.
+func (g *Gateway) lineUp(q *query, key string) {
+	k := g.keys[key]
+	if k == nil {
+		k = &orderKey{}
+		g.keys[key] = k
+	}
+	k.line = append(k.line, q)
+	q.key = k
+}
+
+// take reports whether a bucket that holds at most burst had one left.
+func (b *bucket) take(now time.Duration, burst float64) bool {
+	b.level = min(burst, b.level+b.rate*(now-b.at).Seconds())
+	b.at = now
+	if b.level < 1 {
+		return false
+	}
+	b.level--
+	return true
+}
+
+func (g *Gateway) take(ev *Event) {
+	switch ev.Type {
+	case EngineList:
+		g.listed(ev)
+	case QueryTaken:
+		g.queryTaken(ev)
+	case TimerDue:
+		if ev.Label == 0 {
+			g.watch()
+		} else if q := g.queries[QueryID(ev.Label-1)]; q != nil && g.now >= q.deadline-g.expiry() {
+			g.finish(q)
+		}
+	case ProbeDone:
+		g.probed(ev)
+	case PeerMessage:
+		g.peerTold(ev)
+	case AttemptDone:
+		g.attemptDone(ev)
+	case Progress:
+		g.progress(ev)
+	case ClientGone:
+		if q := g.queries[ev.Query]; q != nil {
+			g.forget(q)
+		}
+	}
+}
+
+// warmth is the share of its capacity a started engine has at least.
+func (g *Gateway) warmth(e *engine) float64 {
+	age, r := g.now-e.Started, &g.cfg.Rules
+	if e.Started <= 0 || r.ColdFor <= 0 || age >= r.ColdFor || r.ColdFrom <= 0 {
+		return 1
+	}
+	return r.ColdFrom + (1-r.ColdFrom)*math.Max(0, age.Seconds())/r.ColdFor.Seconds()
+}
