--- a/gateway_test.go
+++ b/gateway_test.go
@@ -171,7 +171,8 @@
 		for id := range QueryID(10) { // fills the engine up to the bound's cap
 			b.ask(id+1, "short", "")
 		}
-		b.g.pressed, b.g.tenants["t"].level = overload, 0
+		b.g.pressed = overload
+		*b.g.tenants["t"] = bucket{rate: 0.05, at: b.now} // used up
 		ev := Event{Type: QueryTaken, Query: 99, Class: "short", Tenant: "t", TimeLeft: 10 * time.Second,
 			HasCost: true, Cost: 100 * ms}
 		if got := b.at(0, ev); overload {
