--- a/gateway.go
+++ b/gateway.go
@@ -225,7 +225,7 @@
 		e.recent, *others = e.recent-less, math.Max(0, *others-less)
 		// Danger: an engine of which nothing is told would look free; it is taken to be like the others.
 		if g.now-e.toldAt > newsHalfLife {
-			*others += (1 - kept(newsHalfLife)) * (g.crowd*e.kind.cores - *others)
+			*others += (1 - kept(newsHalfLife)) * (g.crowd*g.hidden(e)*e.kind.cores - *others)
 		}
 		silent := 0
 		for _, a := range e.running {
@@ -481,7 +481,7 @@
 }
 
 // told takes in the load of engines: sums replace what was known, sent queries add to it until the sums hold
-// them.
+// them. Where our own queries show an engine well, they count for little.
 func (g *Gateway) told(m peerMessage, entries []peerEntry) {
 	threads, cores := 0.0, 0.0
 	for _, n := range entries {
@@ -492,14 +492,14 @@
 		g.accrue(e)
 		others := &e.count[len(g.order)]
 		if m != peerSums {
-			e.recent += n.load
-			*others += n.load
+			e.recent += n.load * g.hidden(e)
+			*others += n.load * g.hidden(e)
 			continue
 		}
 		if n.load < peerCap {
 			threads, cores = threads+n.load, cores+e.kind.cores
 		}
-		*others, e.toldAt = math.Max(0, n.load-e.threads)+e.recent, g.now
+		*others, e.toldAt = math.Max(0, n.load-e.threads)*g.hidden(e)+e.recent, g.now
 	}
 	if cores > 0 {
 		g.crowd, g.toldAt = threads/cores, g.now
