--- a/gateway.go
+++ b/gateway.go
@@ -56,7 +56,6 @@
 	quotaLeast    = 8.0         // ...and this many queries more: a small part of a share comes in clumps
 
 	// What peers tell.
-	probesEach   = 3                      // engines looked at for a long query
 	tellEvery    = 500 * time.Millisecond // pace of reports to the hub
 	tellLeast    = 1.0                    // thread seconds from which a sent query is told at once
 	hubTurn      = 5 * time.Second        // how long a gateway is the hub
@@ -200,16 +199,7 @@
 }
 
 func (g *Gateway) probed(ev *Event) {
-	e := g.engines[ev.Engine]
-	if e == nil {
-		return
-	}
-	if threads, ok := g.reported(e, ev.Report); ok {
-		g.accrue(e)
-		e.count[len(g.order)], e.toldAt = math.Max(0, threads-e.threads)*g.hidden(e), g.now
-		g.crowd += meanGain * (threads/e.kind.cores - g.crowd)
-	}
-	if e.probing {
+	if e := g.engines[ev.Engine]; e != nil && e.probing {
 		if e.probing, e.trial = false, ev.Outcome == OK; !e.trial {
 			g.shun(e)
 		}
@@ -226,7 +216,7 @@
 	}
 	g.talk()
 	g.scratch = g.scratch[:0]
-	g.crowd *= kept(slowHalfLife)
+	g.crowd *= kept(newsHalfLife)
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
 		e.slow *= kept(slowHalfLife)
@@ -550,7 +540,6 @@
 	if c.InOrder && ev.Key != "" {
 		g.lineUp(q, ev.Key)
 	}
-	g.look(q)
 	g.hold(q)
 	if ev.TimeLeft <= g.expiry() {
 		g.finish(q)
@@ -559,23 +548,6 @@
 	}
 }
 
-// look probes a few engines for a long query, where peers cannot tell and our own queries leave us in the dark.
-// The query waits the moment their answers take.
-func (g *Gateway) look(q *query) {
-	if !g.cfg.MayProbe || g.cfg.MayTell || len(g.cfg.ReportFields) == 0 || g.base(q)*q.c.threads < tellLeast {
-		return
-	}
-	for range probesEach {
-		if e := g.list[g.random.IntN(len(g.list))]; e.known && !e.sick && g.random.Float64() < g.hidden(e) {
-			g.do(Action{Type: Probe, Engine: e.ID})
-			q.ready = g.now + g.expiry()
-		}
-	}
-	if q.ready > g.now {
-		g.timer(q.ready-g.now, uint64(q.id)+1)
-	}
-}
-
 // timeLeft is the time an estimate must fit in, in seconds: until the client gives up, or until the aim,
 // where that comes first.
 func (g *Gateway) timeLeft(q *query) float64 {
@@ -685,8 +657,6 @@
 		var e *engine
 		wait := false
 		switch {
-		case g.now < q.ready:
-			wait = true
 		case !g.mayTryAgain(q):
 		case g.hasTurn(q):
 			e, wait = g.choose(q, blocked)
--- a/state.go
+++ b/state.go
@@ -83,11 +83,10 @@
 	avoid  *engine  // where its last attempt ended
 	doubt  *attempt // earliest attempt that may have run
 
-	deadline, taken, ready time.Duration // ready: probes for it are answered
-	waited                 time.Duration // waited: what the client had waited in earlier tries
-	unit, memory           float64       // told estimate over threads, or the aim, in seconds; told MB
-	tries, kills           int
-	over, told, held, done bool // over: beyond its tenant's share; told: its cost was estimated
+	deadline, taken, waited time.Duration // waited: what the client had waited in earlier tries
+	unit, memory            float64       // told estimate over threads, or the aim, in seconds; told MB
+	tries, kills            int
+	over, told, held, done  bool // over: beyond its tenant's share; told: its cost was estimated
 }
 
 type orderKey struct {
@@ -326,23 +325,3 @@
 	}
 	return r.ColdFrom + (1-r.ColdFrom)*math.Max(0, age.Seconds())/r.ColdFor.Seconds()
 }
-
-// reported reads a load report as threads on an engine.
-func (g *Gateway) reported(e *engine, report []float64) (threads float64, ok bool) {
-	if len(report) == 0 || len(report) != len(g.cfg.ReportFields) {
-		return 0, false
-	}
-	for i, field := range g.cfg.ReportFields {
-		v := report[i]
-		if field == "load_share" {
-			v *= e.kind.cores
-		}
-		if field == "load_share" || field == "depth" || field == "concurrent" {
-			if !(v >= 0) {
-				return 0, false
-			}
-			threads, ok = min(threads+v, peerCap), true
-		}
-	}
-	return threads, ok
-}
