--- a/gateway.go
+++ b/gateway.go
@@ -33,10 +33,10 @@
 	lostRatio   = 4.0  // one so many times over, its answer is taken for lost
 
 	// Pressure and margin.
-	slowHalfLife  = 8 * time.Second // of slowness
-	slowBest      = 2.0             // slowness of the fleet that is no pressure, where threads are untold
-	crowdBest     = 1.6             // told threads a core over the fleet that the margin aims at
-	marginGain    = 0.5             // part of the pressure's logarithm that the margin takes up a second
+	slowHalfLife  = 40 * time.Second // of slowness: at full size an engine gives an outcome every 10 s or so
+	slowBest      = 2.0              // slowness of the fleet that is no pressure, where threads are untold
+	crowdBest     = 1.6              // told threads a core over the fleet that the margin aims at
+	marginGain    = 0.5              // part of the pressure's logarithm that the margin takes up a second
 	marginMost    = 8.0
 	marginIdle    = 2.0 // a query with a wider margin than this has no claim to an idle engine
 	sizeFair      = 0.7 // part of its class's mean work from which a query's margin grows in an overload
@@ -239,9 +239,10 @@
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 				if a.late > lostRatio && !a.lost {
+					// Danger: a lost answer would hold its room until the client gives up.
+					g.leave(a)
 					a.lost = true
 					e.bad++
-					e.lost += a.q.c.threads
 				}
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
@@ -398,7 +399,7 @@
 	g.talkAt = g.now + tellEvery
 	var own []peerEntry
 	for _, e := range g.list {
-		if load := e.threads - e.lost; load > 0 || e.good+e.bad > 0 {
+		if load := e.threads; load > 0 || e.good+e.bad > 0 {
 			own = append(own, peerEntry{e.tag, load, e.good, e.bad})
 			e.good, e.bad = 0, 0
 		}
@@ -581,7 +582,7 @@
 			continue
 		}
 		usable = true
-		idle := len(e.running) == 0
+		idle := e.threads == 0
 		est := g.estimate(q, e)
 		trial := idle && margin <= marginIdle && try < e.kind.cores/g.gateways/q.c.threads
 		if est*margin*caution > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
--- a/state.go
+++ b/state.go
@@ -45,7 +45,6 @@
 	sum             float64       // threads of all gateways, while this one is a hub
 	goodSum, badSum float64       // the same of all gateways, fading, while this one is a hub
 	good, bad       int           // answers, and failures or lost answers, since the last digest
-	lost            float64       // threads of attempts taken for lost
 
 	failing            float64       // recent share of failed attempts
 	streak, trialsOK   int           // failures in a row; trials answered since it fell sick
@@ -218,13 +217,7 @@
 func (g *Gateway) end(a *attempt) {
 	q, e := a.q, a.e
 	delete(g.attempts, [2]uint64{uint64(q.id), uint64(a.trial)})
-	g.accrue(e)
-	e.count[q.c.index]--
-	e.threads -= q.c.threads
-	g.threads -= q.c.threads
-	if a.lost {
-		e.lost -= q.c.threads
-	}
+	g.leave(a)
 	if q.key != nil {
 		q.key.running--
 	}
@@ -325,3 +318,14 @@
 	}
 	return r.ColdFrom + (1-r.ColdFrom)*math.Max(0, age.Seconds())/r.ColdFor.Seconds()
 }
+
+// leave takes an attempt from what counts as running.
+func (g *Gateway) leave(a *attempt) {
+	if a.lost {
+		return
+	}
+	g.accrue(a.e)
+	a.e.count[a.q.c.index]--
+	a.e.threads -= a.q.c.threads
+	g.threads -= a.q.c.threads
+}
