An attempt taken for lost tells no more of slowness, where no notes show what runs

Cause (the design's second foretold break): each lost answer counted as slowness at 2, 4, 8 times its estimate, so engines that serve were passed over and the fleet looked slow.

--- a/gateway_test.go
+++ b/gateway_test.go
@@ -235,3 +235,22 @@
 		}
 	}
 }
+
+func TestLostAnswersStopTellingOfSlowness(t *testing.T) {
+	cfg := plainConfig()
+	cfg.ProgressEvery = 0
+	b := newBench(t, cfg, std("e1"))
+	b.ask(1, "short", "")
+	e := b.g.list[0]
+	var early float64
+	for i := range 180 {
+		e.heard = b.now // other answers arrive
+		b.at(50*ms, Event{Type: TimerDue})
+		if i == 40 {
+			early = e.slow
+		}
+	}
+	if early == 0 || e.slow > early {
+		t.Errorf("slowness %v once overdue, %v after nine seconds without the answer", early, e.slow)
+	}
+}
