--- a/gateway.go
+++ b/gateway.go
@@ -230,8 +230,8 @@
 		silent := 0
 		for _, a := range e.running {
 			age := (g.now - a.at).Seconds()
-			// Danger: a slow engine answers nothing for long, so its slowness would go unseen. But an answer that
-			// is lost tells nothing of slowness; where notes show what runs, none is taken for that.
+			// Danger: a slow engine answers nothing for long, so its slowness would go unseen. But a lost
+			// answer tells nothing of slowness; where notes show what runs, none is taken for that.
 			if age > a.late*a.est && !a.cancelled && !(a.lost && g.cfg.ProgressEvery == 0) {
 				seen := math.Log(a.late * a.est / a.base)
 				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
