--- a/gateway.go
+++ b/gateway.go
@@ -163,6 +163,7 @@
 		e.EngineInfo = *info
 		e.known = info.State == EngineOn
 	}
+	g.forgetGone()
 	g.cores = 0
 	for _, e := range g.list {
 		if e.known {
--- a/gateway_test.go
+++ b/gateway_test.go
@@ -1,6 +1,7 @@
 package cresspass
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -254,3 +255,27 @@
 		t.Errorf("slowness %v once overdue, %v after nine seconds without the answer", early, e.slow)
 	}
 }
+
+func TestNothingGrowsForEver(t *testing.T) {
+	cfg := testConfig()
+	b := newBench(t, cfg, std("e0"))
+	id := QueryID(0)
+	for i := range 3000 {
+		old, fresh := std(fmt.Sprintf("e%d", i)), std(fmt.Sprintf("e%d", i+1))
+		old.State = EngineGone
+		b.at(100*ms, Event{Type: EngineList, Listing: ListChanges, Engines: []EngineInfo{fresh, old}})
+		id++
+		for _, a := range b.ask(id, "load", fmt.Sprintf("key%d", i)) {
+			if a.Type == Send {
+				b.at(100*ms, ended(a, 0, OK, 100*ms))
+			}
+		}
+	}
+	g := b.g
+	if len(g.list) > 2 || len(g.engines) > 2 || len(g.byTag) > 2 {
+		t.Errorf("%d engines kept, %d by name, %d by tag", len(g.list), len(g.engines), len(g.byTag))
+	}
+	if len(g.keys) > 200 || len(g.queries) > 10 || len(g.attempts) > 10 {
+		t.Errorf("%d keys, %d queries, %d attempts kept", len(g.keys), len(g.queries), len(g.attempts))
+	}
+}
--- a/state.go
+++ b/state.go
@@ -136,6 +136,7 @@
 	relay          []peerEntry // entries of sent queries to pass on
 	gathers        int         // reports sent since this gateway last became a hub; 0: it is none
 	median         float64     // of the engines' slowness
+	sweepAt        int         // number of order keys at which those with nothing left are forgotten
 	sickAll        bool        // so many engines are sick that it is the fleet
 	pressed        bool        // the fleet is under pressure
 	pressure       float64
@@ -265,6 +266,14 @@
 func (g *Gateway) lineUp(q *query, key string) {
 	k := g.keys[key]
 	if k == nil {
+		if len(g.keys) >= g.sweepAt { // keys with nothing left are forgotten, at a cost that does not grow
+			for name, old := range g.keys {
+				if len(old.line) == 0 && old.running == 0 && g.now >= old.rest {
+					delete(g.keys, name)
+				}
+			}
+			g.sweepAt = 2*len(g.keys) + 64
+		}
 		k = &orderKey{}
 		g.keys[key] = k
 	}
@@ -329,3 +338,17 @@
 	a.e.threads -= a.q.c.threads
 	g.threads -= a.q.c.threads
 }
+
+// forgetGone drops engines that left the list and run nothing; a cold one stays, with what it was sent.
+func (g *Gateway) forgetGone() {
+	g.list = slices.DeleteFunc(g.list, func(e *engine) bool {
+		gone := !e.known && e.State != EngineDraining && len(e.running) == 0 && g.warmth(e) >= 1
+		if gone {
+			delete(g.engines, e.ID)
+			if g.byTag[e.tag] == e {
+				delete(g.byTag, e.tag)
+			}
+		}
+		return gone
+	})
+}
