--- a/rules_test.go
+++ b/rules_test.go
@@ -550,3 +550,42 @@
 		}
 	}
 }
+
+func TestRule4ManyGatewaysUseAColdEngineWithinItsBudget(t *testing.T) {
+	const gateways = 300
+	cfg := testConfig()
+	cfg.Gateways = gateways
+	r := cfg.Rules
+	var times []time.Duration
+	for i := range gateways {
+		cfg.Ordinal = i
+		e := std("cold")
+		e.Started = time.Hour
+		b := newBench(t, cfg, e)
+		b.g.order[0].work = 0.25 // a class mean, in thread seconds
+		for id := range QueryID(60) {
+			for _, a := range b.at(100*ms, Event{Type: QueryTaken, Query: id + 1, Class: "short", TimeLeft: 5 * time.Second,
+				HasCost: true, Cost: 250 * ms}) {
+				if a.Type == Send {
+					times = append(times, b.now)
+				}
+			}
+		}
+	}
+	if len(times) == 0 {
+		t.Fatal("a cold engine got nothing from 300 gateways")
+	}
+	limit := r.ColdMultiple * 8 * 0.85 * r.ColdFrom * r.ColdWindow.Seconds()
+	for _, from := range times {
+		sum := 0.0
+		for _, at := range times {
+			if at >= from && at < from+r.ColdWindow {
+				sum += 0.25
+			}
+		}
+		if sum > 0.8*limit {
+			t.Fatalf("%.1f thread seconds within a window, the limit is %.1f", sum, limit)
+		}
+	}
+	t.Logf("%d queries, limit of a window %.1f thread seconds", len(times), limit)
+}
