--- a/gateway.go
+++ b/gateway.go
@@ -64,22 +64,26 @@
 	sickKeep     = 0.8                    // part of the evidence kept each time sums are told
 
 	// Health.
-	failGain                = 0.2       // gain of an engine's share of failed attempts
-	failSick, failStreak    = 0.4, 3    // share of failures, or failures in a row, that make an engine sick
-	failWeight, failFinal   = 4.0, 16.0 // an estimate grows by this times the failure share; if a failure is final
-	silentRatio             = 3.0       // an attempt this far over its estimate, nothing heard since, is a sign of silence
-	silentLeast             = 700 * time.Millisecond
-	silentCount, trialsGood = 2, 2 // attempts that must show silence; answered trials after which all is well
-	shunFirst, shunMost     = time.Second, 5 * time.Second
-	coldSmall               = 0.1  // part of the cold budget that a query sent in turn may need
-	coldSlack               = 0.5  // part of the cold budget used, for chance and mistaken work
-	cpuShare                = 0.85 // a capacity is the rate at which cores are this busy
-	killRatio               = 2.5  // a projected run this many times over its estimate is a bad plan
-	killGain                = 1.3  // what is left must exceed a fresh run's estimate by this ratio
-	killsMost               = 2    // a query that is long every time is just long
-	grantStart              = 1.25 // memory granted over the estimate, adapted by class
-	grantUp, grantDown      = 0.06, 0.01
-	topRank                 = 3
+	failGain    = 0.2 // gain of an engine's share of failed attempts
+	failSick    = 0.4 // share of failures from which an engine is sick
+	failStreak  = 3   // failures in a row from which it is sick
+	failWeight  = 4.0 // an estimate grows by this times the failure share...
+	failFinal   = 16.0
+	silentRatio = 3.0 // an attempt this far over its estimate, nothing heard since, is a sign of silence
+	silentLeast = 700 * time.Millisecond
+	silentCount = 2 // attempts that must show silence
+	trialsGood  = 2 // answered trials after which an engine is well again
+	shunFirst   = time.Second
+	shunMost    = 5 * time.Second
+	coldSlack   = 0.5  // part of the cold budget used, for chance and mistaken work
+	cpuShare    = 0.85 // a capacity is the rate at which cores are this busy
+	killRatio   = 2.5  // a projected run this many times over its estimate is a bad plan
+	killGain    = 1.3  // what is left must exceed a fresh run's estimate by this ratio
+	killsMost   = 2    // a query that is long every time is just long
+	grantStart  = 1.25 // memory granted over the estimate, adapted by class
+	grantUp     = 0.06
+	grantDown   = 0.01
+	topRank     = 3
 )
 
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
@@ -738,15 +742,8 @@
 	for _, s := range e.coldSent {
 		sum += s.work
 	}
-	budget := coldSlack * r.ColdMultiple * e.kind.cores * cpuShare * r.ColdFrom * r.ColdWindow.Seconds()
-	if sum <= budget/g.gateways {
-		return true
-	}
-	// Danger: where each part is under one query, cold engines would idle until warm. So one small query goes
-	// where it is this gateway's turn, by chance, and all turns together come to half of the budget.
-	seed := rand.NewPCG(g.cfg.Seed+uint64(g.cfg.Ordinal), uint64(e.tag)<<32+uint64(g.now/r.ColdWindow))
-	turn := rand.New(seed).Float64() < budget/2/g.gateways/work
-	return turn && len(e.coldSent) == 0 && work < coldSmall*budget
+	capacity := e.kind.cores * cpuShare * r.ColdFrom
+	return sum <= coldSlack*r.ColdMultiple*capacity*r.ColdWindow.Seconds()/g.gateways
 }
 
 // send is the one place where queries are sent.
