--- a/gateway.go
+++ b/gateway.go
@@ -37,6 +37,7 @@
 	slowBest      = 2.0              // slowness of the fleet that is no pressure, where threads are untold
 	crowdBest     = 1.6              // told threads a core over the fleet that the margin aims at
 	marginGain    = 0.5              // part of the pressure's logarithm that the margin takes up a second
+	pressureLeast = 0.25             // less pressure lets the margin fall no faster
 	marginMost    = 8.0
 	marginIdle    = 2.0 // a query with a wider margin than this has no claim to an idle engine
 	sizeFair      = 0.7 // part of its class's mean work from which a query's margin grows in an overload
@@ -218,15 +219,16 @@
 	g.talk()
 	g.scratch = g.scratch[:0]
 	g.crowd *= kept(newsHalfLife)
+	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
-		e.slow *= kept(slowHalfLife)
+		e.slow *= keepSlow
 		g.accrue(e)
-		others, less := &e.count[len(g.order)], e.recent*(1-kept(tellEvery))
+		others, less := &e.count[len(g.order)], e.recent*(1-keepRecent)
 		e.recent, *others = e.recent-less, math.Max(0, *others-less)
 		// Danger: an engine of which nothing is told would look free; it is taken to be like the others.
 		if g.now-e.toldAt > newsHalfLife {
-			*others += (1 - kept(newsHalfLife)) * (g.crowd*g.hidden(e)*e.kind.cores - *others)
+			*others += (1 - keepNews) * (g.crowd*g.hidden(e)*e.kind.cores - *others)
 		}
 		silent := 0
 		for _, a := range e.running {
@@ -279,16 +281,16 @@
 			}
 		}
 	}
-	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
 	if sort.Float64s(g.scratch); len(g.scratch) > 0 {
 		g.median = g.scratch[len(g.scratch)/2]
 	}
+	// Danger: all engines in trouble together is not one sick engine; shunning them all serves nobody.
 	g.sickAll = sick*2 > all
 	g.pressure = math.Exp(g.fleet) / slowBest
 	step := -1.0 // without news the margin falls back: slowness alone may be no overload, and stay
 	if g.now-g.toldAt < newsHalfLife {
 		g.pressure = g.crowd / crowdBest
-		step = math.Log(math.Max(g.pressure, 0.25))
+		step = math.Log(math.Max(g.pressure, pressureLeast))
 	}
 	g.margin = min(max(g.margin*math.Exp(step*marginGain*tickEvery.Seconds()), 1), marginMost)
 	g.pressed = g.pressure > 1 || pressed*pressedOf > all
@@ -305,11 +307,13 @@
 // the fleet's as far as its own leave us in the dark.
 func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*g.fleet }
 
+// clip limits an error, in logarithms, to what one outcome may count for.
+func clip(miss float64) float64 { return min(max(miss, -math.Log(robustRatio)), math.Log(robustRatio)) }
+
 // fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
 // it becomes overdue.
 func (g *Gateway) fleetSeen(ratio float64) {
-	limit := math.Log(robustRatio)
-	g.fleet += fleetGain * min(max(ratio-g.fleet, -limit), limit)
+	g.fleet += fleetGain * clip(ratio-g.fleet)
 }
 
 // Mix model.
@@ -354,8 +358,7 @@
 	seen := took * g.warmth(e) / a.base
 	// Errors are taken in logarithms and clipped: queries are widely spread, and one runaway must not
 	// move the weights. Base and weights share the error, else they drift apart.
-	limit := math.Log(robustRatio)
-	miss := min(max(math.Log(seen/want)-e.slow+g.median, -limit), limit)
+	miss := clip(math.Log(seen/want) - e.slow + g.median)
 	used := 0.0
 	for j, v := range x {
 		threads := 1.0
@@ -373,12 +376,11 @@
 		c.seen += light
 		c.scale *= math.Exp(light * math.Max(baseGain, 1/(c.seen+2)) * miss)
 	}
-	slow := math.Log(seen/want) - g.hidden(e)*g.fleet
-	e.slow += slowGain * (min(max(slow, -limit), limit) - e.slow)
+	e.slow += slowGain * (clip(math.Log(seen/want)-g.hidden(e)*g.fleet) - e.slow)
 	if a.late == lateRatio {
 		g.fleetSeen(math.Log(seen/want) - e.slow)
 	}
-	g.adapt(e, c, min(max(math.Log(seen), -limit), 2*limit), took)
+	g.adapt(e, c, min(max(math.Log(seen), -math.Log(robustRatio)), 2*math.Log(robustRatio)), took)
 }
 
 // Evidence of peers. At full size one gateway's queries tell nearly nothing of an engine, so gateways report
@@ -401,8 +403,8 @@
 	g.talkAt = g.now + tellEvery
 	var own []peerEntry
 	for _, e := range g.list {
-		if load := e.threads; load > 0 || e.good+e.bad > 0 {
-			own = append(own, peerEntry{e.tag, load, e.good, e.bad})
+		if e.threads > 0 || e.good+e.bad > 0 {
+			own = append(own, peerEntry{e.tag, e.threads, e.good, e.bad})
 			e.good, e.bad = 0, 0
 		}
 	}
@@ -623,7 +625,7 @@
 
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
 
-// bound reports whether the thread bound keeps the next query from an engine: only under pressure.
+// bounded reports whether the thread bound keeps the next query from an engine: only under pressure.
 // Danger: latency shows pressure late, and while other engines are bound, all queries pour into one that
 // looks calm. So an engine filled with boundMost times our part of its cores is under pressure as well.
 func (g *Gateway) bounded(e *engine) bool {
