--- a/gateway.go
+++ b/gateway.go
@@ -94,7 +94,7 @@
 	}
 	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
 		engines: map[EngineID]*engine{}, byTag: map[uint16]*engine{},
-		queries: map[QueryID]*query{}, attempts: map[[2]uint64]*attempt{},
+		queries: map[QueryID]*query{}, attempts: map[attemptKey]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, reports: map[int]report{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
 		margin:   1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
@@ -802,7 +802,7 @@
 }
 
 func (g *Gateway) attemptDone(ev *Event) {
-	a := g.attempts[[2]uint64{uint64(ev.Query), uint64(ev.Attempt)}]
+	a := g.attempts[attemptKey{ev.Query, ev.Attempt}]
 	if a == nil {
 		return
 	}
@@ -844,7 +844,7 @@
 // progress reads a note on a running attempt. A bad plan is drawn anew for each attempt, so one that is
 // far behind is called off where a fresh run should end well before it.
 func (g *Gateway) progress(ev *Event) {
-	a := g.attempts[[2]uint64{uint64(ev.Query), uint64(ev.Attempt)}]
+	a := g.attempts[attemptKey{ev.Query, ev.Attempt}]
 	if a == nil {
 		return
 	}
--- a/state.go
+++ b/state.go
@@ -73,6 +73,12 @@
 	cancelled, spilled, lost bool
 }
 
+// attemptKey names an attempt as events do.
+type attemptKey struct {
+	query QueryID
+	trial int
+}
+
 type query struct {
 	id     QueryID
 	c      *class
@@ -117,7 +123,7 @@
 	list     []*engine // all engines known, by ID
 	byTag    map[uint16]*engine
 	queries  map[QueryID]*query
-	attempts map[[2]uint64]*attempt
+	attempts map[attemptKey]*attempt
 	held     []*query // earliest deadline first
 	keys     map[string]*orderKey
 	tenants  map[string]*bucket
@@ -212,12 +218,12 @@
 	e.count[q.c.index]++
 	e.threads += q.c.threads
 	g.threads += q.c.threads
-	g.attempts[[2]uint64{uint64(q.id), uint64(a.trial)}] = a
+	g.attempts[attemptKey{q.id, a.trial}] = a
 }
 
 func (g *Gateway) end(a *attempt) {
 	q, e := a.q, a.e
-	delete(g.attempts, [2]uint64{uint64(q.id), uint64(a.trial)})
+	delete(g.attempts, attemptKey{q.id, a.trial})
 	g.leave(a)
 	if q.key != nil {
 		q.key.running--
