Load reports of answers fill the place of unseen threads where no peers tell

Queries held, less ours, times the threads ours run on, take the place of others' threads; an engine of which little is heard drifts to its kind's crowding. Might hurt where reports are stale; they fade with a half-life of 10 s.

--- a/gateway.go
+++ b/gateway.go
@@ -64,6 +64,11 @@
 	sickLeast    = 3.0                    // failures and lost answers that may call an engine sick
 	sickKeep     = 0.8                    // part of the evidence kept each time sums are told
 
+	// What engines report.
+	reportGain    = 0.2              // gain of a kind's crowding, fed by every report
+	crowdHalfLife = 10 * time.Second // of a kind's crowding while nothing is reported
+	reportMost    = 16.0             // a report counts as at most so many threads a core
+
 	// Health.
 	failGain    = 0.2 // gain of an engine's share of failed attempts
 	failSick    = 0.4 // share of failures from which an engine is sick
@@ -201,7 +206,11 @@
 }
 
 func (g *Gateway) probed(ev *Event) {
-	if e := g.engines[ev.Engine]; e != nil && e.probing {
+	e := g.engines[ev.Engine]
+	if e != nil && ev.HasReport {
+		g.reported(e, ev.Report)
+	}
+	if e != nil && e.probing {
 		if e.probing, e.trial = false, ev.Outcome == OK; !e.trial {
 			g.shun(e)
 		}
@@ -219,6 +228,9 @@
 	g.talk()
 	g.scratch = g.scratch[:0]
 	g.crowd *= kept(newsHalfLife)
+	for _, name := range g.cfg.KindNames {
+		g.kinds[name].crowd *= kept(crowdHalfLife)
+	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
@@ -226,9 +238,9 @@
 		g.accrue(e)
 		others, less := &e.count[len(g.order)], e.recent*(1-keepRecent)
 		e.recent, *others = e.recent-less, math.Max(0, *others-less)
-		// Danger: an engine of which nothing is told would look free; it is taken to be like the others.
+		// Danger: an engine of which nothing is told would look free; it is taken to be like others of its kind.
 		if g.now-e.toldAt > newsHalfLife {
-			*others += (1 - keepNews) * (g.crowd*g.hidden(e)*e.kind.cores - *others)
+			*others += (1 - keepNews) * (e.kind.crowd*g.hidden(e)*e.kind.cores - *others)
 		}
 		silent := 0
 		for _, a := range e.running {
@@ -489,6 +501,9 @@
 // them. Where our own queries show an engine well, they count for little.
 func (g *Gateway) told(m peerMessage, entries []peerEntry) {
 	threads, cores := 0.0, 0.0
+	for _, k := range g.kinds { // each alone: their order does not matter
+		k.told, k.toldCores = 0, 0
+	}
 	for _, n := range entries {
 		e := g.byTag[n.tag]
 		if e == nil {
@@ -503,12 +518,63 @@
 		}
 		if n.load < peerCap {
 			threads, cores = threads+n.load, cores+e.kind.cores
+			e.kind.told, e.kind.toldCores = e.kind.told+n.load, e.kind.toldCores+e.kind.cores
 		}
 		*others, e.toldAt = math.Max(0, n.load-e.threads)*g.hidden(e)+e.recent, g.now
 	}
 	if cores > 0 {
 		g.crowd, g.toldAt = threads/cores, g.now
 	}
+	for _, k := range g.kinds {
+		if k.toldCores > 0 {
+			k.crowd = k.told / k.toldCores
+		}
+	}
+}
+
+// reported takes in what an engine tells of the queries it holds, where no peer tells of them: the place of
+// unseen threads in Est is filled from it, and like engines of which little is heard are taken to be alike.
+// Danger: reports are late, noisy and perhaps wrong, so they are clipped, and fade.
+func (g *Gateway) reported(e *engine, values []float64) {
+	if g.now-g.toldAt < newsHalfLife || len(values) != len(g.cfg.ReportFields) {
+		return
+	}
+	threads := -1.0
+	for i, name := range g.cfg.ReportFields {
+		switch v := values[i]; {
+		case math.IsNaN(v) || v < 0:
+		case name == "concurrent": // queries, of which ours show how many threads each has
+			queries := 0.0
+			for _, a := range e.running {
+				if !a.lost {
+					queries++
+				}
+			}
+			threads = math.Max(0, v-queries) * g.threadsEach(e.kind)
+		case name == "load_share" && threads < 0:
+			threads = math.Max(0, v*e.kind.cores-e.threads)
+		}
+	}
+	if threads < 0 {
+		return
+	}
+	threads = math.Min(threads, reportMost*e.kind.cores)
+	e.kind.crowd += reportGain * (threads/e.kind.cores - e.kind.crowd)
+	g.accrue(e)
+	e.count[len(g.order)], e.toldAt = threads*g.hidden(e), g.now
+}
+
+// threadsEach is the mean number of threads of our queries that ran on engines of a kind.
+func (g *Gateway) threadsEach(k *kind) float64 {
+	queries, threads := 1.0, 1.0
+	for _, e := range g.list {
+		if e.kind == k {
+			for j, c := range g.order {
+				queries, threads = queries+e.area[j], threads+e.area[j]*c.threads
+			}
+		}
+	}
+	return threads / queries
 }
 
 // Admission and choice.
@@ -814,6 +880,9 @@
 	if !ev.Outcome.NeverRan() && (q.doubt == nil || a.at < q.doubt.at) {
 		q.doubt = a
 	}
+	if ev.HasReport {
+		g.reported(e, ev.Report)
+	}
 	switch ev.Outcome {
 	case OK:
 		e.good++
--- a/state.go
+++ b/state.go
@@ -23,7 +23,10 @@
 }
 
 type kind struct {
-	cores, memory float64     // memory in MB
+	cores, memory float64 // memory in MB
+	crowd         float64 // threads a core over its engines, as told or reported
+	told          float64 // threads and cores of the sums just read
+	toldCores     float64
 	weights       [][]float64 // per class: time a running query of each class adds, over base, per core
 }
 
