--- a/gateway.go
+++ b/gateway.go
@@ -65,7 +65,9 @@
 	sickKeep     = 0.8                    // part of the evidence kept each time sums are told
 
 	// What engines report.
-	reportGain    = 0.2              // gain of a kind's crowding, fed by every report
+	reportGain    = 0.2 // gain of a kind's crowding, fed by every report
+	scouts        = 3   // engines probed before a long query is placed
+	scoutWait     = 25 * time.Millisecond
 	crowdHalfLife = 10 * time.Second // of a kind's crowding while nothing is reported
 	reportMost    = 16.0             // a report counts as at most so many threads a core
 
@@ -230,6 +232,7 @@
 	g.crowd *= kept(newsHalfLife)
 	for _, name := range g.cfg.KindNames {
 		g.kinds[name].crowd *= kept(crowdHalfLife)
+		g.kinds[name].slow *= kept(slowHalfLife)
 	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
 	sick, pressed, all := 0, 0, 0
@@ -251,7 +254,7 @@
 				seen := math.Log(a.late * a.est / a.base)
 				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
 				e.slow += slowGain * miss
-				g.fleetSeen(seen - e.slow)
+				g.fleetSeen(e.kind, seen-e.slow)
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 				if a.late > lostRatio && !a.lost {
@@ -316,16 +319,17 @@
 func (g *Gateway) hidden(e *engine) float64 { return math.Pow(1+e.kind.cores/g.gateways, -2) }
 
 // slowness is the logarithm by which an engine is slower than its mix explains: by its own outcomes, and by
-// the fleet's as far as its own leave us in the dark.
-func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*g.fleet }
+// its kind's as far as its own leave us in the dark.
+func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*e.kind.slow }
 
 // clip limits an error, in logarithms, to what one outcome may count for.
 func clip(miss float64) float64 { return min(max(miss, -math.Log(robustRatio)), math.Log(robustRatio)) }
 
-// fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
+// fleetSeen takes in what an attempt tells of the slowness of its kind and of the fleet: when it ends in good time, else each time
 // it becomes overdue.
-func (g *Gateway) fleetSeen(ratio float64) {
+func (g *Gateway) fleetSeen(k *kind, ratio float64) {
 	g.fleet += fleetGain * clip(ratio-g.fleet)
+	k.slow += fleetGain * clip(ratio-k.slow)
 }
 
 // Mix model.
@@ -388,9 +392,9 @@
 		c.seen += light
 		c.scale *= math.Exp(light * math.Max(baseGain, 1/(c.seen+2)) * miss)
 	}
-	e.slow += slowGain * (clip(math.Log(seen/want)-g.hidden(e)*g.fleet) - e.slow)
+	e.slow += slowGain * (clip(math.Log(seen/want)-g.hidden(e)*e.kind.slow) - e.slow)
 	if a.late == lateRatio {
-		g.fleetSeen(math.Log(seen/want) - e.slow)
+		g.fleetSeen(e.kind, math.Log(seen/want)-e.slow)
 	}
 	g.adapt(e, c, min(max(math.Log(seen), -math.Log(robustRatio)), 2*math.Log(robustRatio)), took)
 }
@@ -612,6 +616,7 @@
 		g.lineUp(q, ev.Key)
 	}
 	g.hold(q)
+	g.scout(q)
 	if ev.TimeLeft <= g.expiry() {
 		g.finish(q)
 	} else {
@@ -619,6 +624,28 @@
 	}
 }
 
+// scout probes a few engines that a long query may use, where neither peers nor our own queries show how
+// full they are; the query waits for the reports. Danger: a jammed engine answers no query, so it reports
+// nothing of itself, and one that fills up looks as free as it was when last heard of.
+func (g *Gateway) scout(q *query) {
+	if !g.cfg.MayProbe || len(g.cfg.ReportFields) == 0 || g.now-g.toldAt < newsHalfLife ||
+		g.base(q)*q.c.threads < tellLeast {
+		return
+	}
+	asked := 0
+	for _, i := range g.random.Perm(len(g.list)) {
+		e := g.list[i]
+		if asked < scouts && g.mayUse(q, e) && !e.sick && e.kind.cores/g.gateways < q.c.threads {
+			g.do(Action{Type: Probe, Engine: e.ID})
+			asked++
+		}
+	}
+	if asked > 0 {
+		q.waits = g.now + scoutWait
+		g.timer(scoutWait, uint64(q.id)+1)
+	}
+}
+
 // timeLeft is the time an estimate must fit in, in seconds: until the client gives up, or until the aim,
 // where that comes first.
 func (g *Gateway) timeLeft(q *query) float64 {
@@ -729,6 +756,8 @@
 		wait := false
 		switch {
 		case !g.mayTryAgain(q):
+		case g.now < q.waits:
+			wait = true
 		case g.hasTurn(q):
 			e, wait = g.choose(q, blocked)
 		default:
--- a/state.go
+++ b/state.go
@@ -24,6 +24,7 @@
 
 type kind struct {
 	cores, memory float64 // memory in MB
+	slow          float64 // log of its slowness
 	crowd         float64 // threads a core over its engines, as told or reported
 	told          float64 // threads and cores of the sums just read
 	toldCores     float64
@@ -92,6 +93,7 @@
 	doubt  *attempt // earliest attempt that may have run
 
 	deadline, taken, waited time.Duration // waited: what the client had waited in earlier tries
+	waits                   time.Duration // held until then for reports that were asked for
 	unit, memory            float64       // told estimate over threads, or the aim, in seconds; told MB
 	tries, kills            int
 	over, told, held, done  bool // over: beyond its tenant's share; told: its cost was estimated
