Est grows at least as threads a core do

Cause: on jammed e8 engines nothing ends, so the weight of unseen threads stays at its start of 0.25 and Est at 2.4 bases with 5 threads a core.

--- a/gateway.go
+++ b/gateway.go
@@ -345,11 +345,17 @@
 	return sum
 }
 
+// fill is the number of threads known to run on an engine for each of its cores.
+func (g *Gateway) fill(e *engine) float64 { return (e.threads + e.count[len(g.order)]) / e.kind.cores }
+
 // estimate is Est(i) in seconds for a newcomer, itself counted in.
 func (g *Gateway) estimate(q *query, e *engine) float64 {
 	i := q.c.index
 	e.count[i]++
-	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(g.slowness(e)) / g.warmth(e)
+	// Danger: an engine so full that nothing ends teaches no weights; its cores are shared, so that a query's
+	// time grows at least as its threads do.
+	mix := math.Max(1+e.mix(i, e.count), g.fill(e))
+	est := g.base(q) * mix * math.Exp(g.slowness(e)) / g.warmth(e)
 	e.count[i]--
 	if q.c.loads {
 		// Danger: a load stands still while another holds its tables there.
