Memory granted beyond what an engine has slows Est where engines page

Est now grows by the power 2.5 of memory over one (six times at twice the memory, as such engines do), newcomer counted in. Might hurt where x0 is stale.

--- a/gateway.go
+++ b/gateway.go
@@ -67,6 +67,7 @@
 	// What engines report.
 	reportGain    = 0.2 // gain of a kind's crowding, fed by every report
 	scouts        = 3   // engines probed before a long query is placed
+	pagePower     = 2.5 // at twice its memory an engine that pages is some six times slower
 	scoutWait     = 25 * time.Millisecond
 	crowdHalfLife = 10 * time.Second // of a kind's crowding while nothing is reported
 	reportMost    = 16.0             // a report counts as at most so many threads a core
@@ -232,6 +233,7 @@
 	g.crowd *= kept(newsHalfLife)
 	for _, name := range g.cfg.KindNames {
 		g.kinds[name].crowd *= kept(crowdHalfLife)
+		g.kinds[name].granted *= kept(crowdHalfLife)
 		g.kinds[name].slow *= kept(slowHalfLife)
 	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
@@ -244,6 +246,7 @@
 		// Danger: an engine of which nothing is told would look free; it is taken to be like others of its kind.
 		if g.now-e.toldAt > newsHalfLife {
 			*others += (1 - keepNews) * (e.kind.crowd*g.hidden(e)*e.kind.cores - *others)
+			e.granted += (1 - keepNews) * (e.kind.granted - e.granted)
 		}
 		silent := 0
 		for _, a := range e.running {
@@ -348,6 +351,15 @@
 // fill is the number of threads known to run on an engine for each of its cores.
 func (g *Gateway) fill(e *engine) float64 { return (e.threads + e.count[len(g.order)]) / e.kind.cores }
 
+// paging is how many times slower a query is for want of memory, where engines report what they granted.
+// Danger: in an engine that pages nothing ends, so no outcome shows it, and all it holds keeps its memory.
+func (g *Gateway) paging(q *query, e *engine) float64 {
+	if e.kind.memory <= 0 || e.granted <= 0 || g.cfg.WhenShort != ShortagePage {
+		return 1
+	}
+	return math.Pow(math.Max(1, e.granted+q.memory/e.kind.memory), pagePower)
+}
+
 // estimate is Est(i) in seconds for a newcomer, itself counted in.
 func (g *Gateway) estimate(q *query, e *engine) float64 {
 	i := q.c.index
@@ -355,7 +367,7 @@
 	// Danger: an engine so full that nothing ends teaches no weights; its cores are shared, so that a query's
 	// time grows at least as its threads do.
 	mix := math.Max(1+e.mix(i, e.count), g.fill(e))
-	est := g.base(q) * mix * math.Exp(g.slowness(e)) / g.warmth(e)
+	est := g.base(q) * mix * math.Exp(g.slowness(e)) / g.warmth(e) * g.paging(q, e)
 	e.count[i]--
 	if q.c.loads {
 		// Danger: a load stands still while another holds its tables there.
@@ -561,6 +573,9 @@
 				}
 			}
 			threads = math.Max(0, v-queries) * g.threadsEach(e.kind)
+		case name == "x0": // share of its memory that is granted
+			e.granted = math.Min(v, reportMost)
+			e.kind.granted += reportGain * (e.granted - e.kind.granted)
 		case name == "load_share" && threads < 0:
 			threads = math.Max(0, v*e.kind.cores-e.threads)
 		}
--- a/state.go
+++ b/state.go
@@ -23,12 +23,12 @@
 }
 
 type kind struct {
-	cores, memory float64 // memory in MB
-	slow          float64 // log of its slowness
-	crowd         float64 // threads a core over its engines, as told or reported
-	told          float64 // threads and cores of the sums just read
-	toldCores     float64
-	weights       [][]float64 // per class: time a running query of each class adds, over base, per core
+	cores, memory  float64 // memory in MB
+	slow           float64 // log of its slowness
+	crowd, granted float64 // threads a core, and memory granted over memory, as told or reported
+	told           float64 // threads and cores of the sums just read
+	toldCores      float64
+	weights        [][]float64 // per class: time a running query of each class adds, over base, per core
 }
 
 type engine struct {
@@ -45,6 +45,7 @@
 	areaAt, cutAt   time.Duration // when area and bound were last changed
 	full            time.Duration // under pressure until then: it turned work away
 	toldAt          time.Duration // when others' threads were last told
+	granted         float64       // memory granted over memory, as reported
 	recent          float64       // threads told as just sent, fading into the sums
 	sum             float64       // threads of all gateways, while this one is a hub
 	goodSum, badSum float64       // the same of all gateways, fading, while this one is a hub
