--- a/gateway.go
+++ b/gateway.go
@@ -475,8 +475,8 @@
 
 // tellSums passes on the sums of the reports, to this gateway too.
 // Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty and would draw
-// all, so its load counts for more, and as the most where little good comes from it. Where little comes from
-// all, it is not the engines.
+// all, so its load counts for more, and as the most where little good comes from it. What befalls all alike, as
+// answers lost on the way, is no engine's fault, and would pass for an overload.
 func (g *Gateway) tellSums() {
 	good, bad := 0.0, 0.0
 	for _, e := range g.list {
@@ -492,7 +492,8 @@
 	}
 	var sums []peerEntry
 	for _, e := range g.list {
-		load := math.Min(e.sum*(1+failWeight*e.badSum/(e.badSum+e.goodSum+1)), peerCap-1)
+		worse := math.Max(0, e.badSum/(e.badSum+e.goodSum+1)-bad/(bad+good+1))
+		load := math.Min(e.sum*(1+failWeight*worse), peerCap-1)
 		if bad < good && e.badSum > math.Max(sickLeast, e.goodSum) {
 			load = peerCap
 		}
