Attempts far past Est of which nothing is heard are called off and sent again

Now at 3 times what Est says at that moment, without a note for two paces, where a fresh run fits its aim. Covers lost answers, bad plans, hung queries. Might hurt where engines slow down suddenly.

--- a/gateway.go
+++ b/gateway.go
@@ -87,6 +87,7 @@
 	coldSlack   = 0.5  // part of the cold budget used, for chance and mistaken work
 	cpuShare    = 0.85 // a capacity is the rate at which cores are this busy
 	killRatio   = 2.5  // a projected run this many times over its estimate is a bad plan
+	overRatio   = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
 	killGain    = 1.3  // what is left must exceed a fresh run's estimate by this ratio
 	killsMost   = 2    // a query that is long every time is just long
 	grantStart  = 1.25 // memory granted over the estimate, adapted by class
@@ -267,6 +268,10 @@
 					e.bad++
 				}
 			}
+			if g.overtime(a, age) {
+				a.q.kills++
+				g.cancel(a)
+			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
 				silent++
 			}
@@ -961,6 +966,23 @@
 	}
 }
 
+// overtime reports whether an attempt is to be called off and its query sent again: it is far past what Est
+// says now, and no note shows that it runs. Its answer was lost, or it has a bad plan; either way a fresh
+// attempt should end first, as long as one fits. Danger: where engines are only slow this doubles the work.
+func (g *Gateway) overtime(a *attempt, age float64) bool {
+	q := a.q
+	switch {
+	case q.done || a.cancelled || q.kills >= killsMost || !g.mayTryAgain(q) || q.c.Effect == Unsafe:
+		return false
+	case q.c.Effect == Keyed && g.now-a.at > q.c.Window-g.cfg.Rules.OrderRest-tickEvery:
+		return false
+	case g.cfg.ProgressEvery > 0 && g.now-max(a.at, a.noted) < 2*g.cfg.ProgressEvery+tickEvery:
+		return false
+	}
+	est := math.Max(a.est, g.estimate(q, a.e))
+	return age > overRatio*est && est < g.timeLeft(q)
+}
+
 // progress reads a note on a running attempt. A bad plan is drawn anew for each attempt, so one that is
 // far behind is called off where a fresh run should end well before it.
 func (g *Gateway) progress(ev *Event) {
@@ -968,6 +990,7 @@
 	if a == nil {
 		return
 	}
+	a.noted = g.now
 	switch a.e.heard = g.now; ev.Note {
 	case NoteSpills:
 		a.spilled = true
--- a/state.go
+++ b/state.go
@@ -69,8 +69,8 @@
 	q         *query
 	e         *engine
 	trial     int
-	at        time.Duration
-	base, est float64 // seconds
+	at, noted time.Duration // sent; last note of it
+	base, est float64       // seconds
 	grant     float64
 	area      []float64 // the engine's integral of the mix when it was sent
 	late      float64   // next multiple of the estimate at which it counts as overdue
