--- a/gateway.go
+++ b/gateway.go
@@ -73,27 +73,28 @@
 	reportMost    = 16.0             // a report counts as at most so many threads a core
 
 	// Health.
-	failGain    = 0.2 // gain of an engine's share of failed attempts
-	failSick    = 0.4 // share of failures from which an engine is sick
-	failStreak  = 3   // failures in a row from which it is sick
-	failWeight  = 4.0 // an estimate grows by this times the failure share...
-	failFinal   = 16.0
-	silentRatio = 3.0 // an attempt this far over its estimate, nothing heard since, is a sign of silence
-	silentLeast = 700 * time.Millisecond
-	silentCount = 2 // attempts that must show silence
-	trialsGood  = 2 // answered trials after which an engine is well again
-	shunFirst   = time.Second
-	shunMost    = 5 * time.Second
-	coldSlack   = 0.5  // part of the cold budget used, for chance and mistaken work
-	cpuShare    = 0.85 // a capacity is the rate at which cores are this busy
-	killRatio   = 2.5  // a projected run this many times over its estimate is a bad plan
-	overRatio   = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
-	killGain    = 1.3  // what is left must exceed a fresh run's estimate by this ratio
-	killsMost   = 2    // a query that is long every time is just long
-	grantStart  = 1.25 // memory granted over the estimate, adapted by class
-	grantUp     = 0.06
-	grantDown   = 0.01
-	topRank     = 3
+	failGain     = 0.2 // gain of an engine's share of failed attempts
+	failSick     = 0.4 // share of failures from which an engine is sick
+	failStreak   = 3   // failures in a row from which it is sick
+	failWeight   = 4.0 // an estimate grows by this times the failure share...
+	failFinal    = 16.0
+	silentRatio  = 3.0 // an attempt this far over its estimate, nothing heard since, is a sign of silence
+	silentLeast  = 700 * time.Millisecond
+	silentCount  = 2 // attempts that must show silence
+	trialsGood   = 2 // answered trials after which an engine is well again
+	shunFirst    = time.Second
+	shunMost     = 5 * time.Second
+	coldSlack    = 0.5  // part of the cold budget used, for chance and mistaken work
+	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
+	killRatio    = 2.5  // a projected run this many times over its estimate is a bad plan
+	overRatio    = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
+	killGain     = 1.3  // what is left must exceed a fresh run's estimate by this ratio
+	killsMost    = 2    // a query that is long every time is just long
+	untoldSpread = 2.0  // a query whose cost is not told may be so much longer than its class's mean
+	grantStart   = 1.25 // memory granted over the estimate, adapted by class
+	grantUp      = 0.06
+	grantDown    = 0.01
+	topRank      = 3
 )
 
 // New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
@@ -980,7 +981,16 @@
 		return false
 	}
 	est := math.Max(a.est, g.estimate(q, a.e))
-	return age > overRatio*est && est < g.timeLeft(q)
+	return age > overRatio*q.spread()*est && est < g.timeLeft(q)
+}
+
+// spread is how many times further over Est a query must be to be taken for more than a long one.
+// Danger: where its cost is not told, calling off what is only long does its work again and again.
+func (q *query) spread() float64 {
+	if q.told {
+		return 1
+	}
+	return untoldSpread
 }
 
 // progress reads a note on a running attempt. A bad plan is drawn anew for each attempt, so one that is
@@ -999,7 +1009,7 @@
 		ran := (g.now - a.at).Seconds()
 		total := ran / math.Max(ev.Value, 1e-3)
 		lawful := !q.done && !a.cancelled && q.c.Effect == Safe && q.kills < killsMost && g.mayTryAgain(q)
-		if lawful && total > killRatio*a.est && total-ran > killGain*a.est {
+		if lawful && total > killRatio*q.spread()*a.est && total-ran > killGain*q.spread()*a.est {
 			q.kills++
 			g.cancel(a)
 		}
