Small queries go to cold engines by turns, where a gateway's part of the cold budget is under one query

Cause: at 200 gateways a part of the cold budget is 0.04 s of work, so engines restarted idle for 15 s; a deploy keeps a third of the fleet so. A gateway may send one small query (a tenth of the budget at most) a period, so long that all together use half of the budget; turns start at random and lapse unused.

--- a/gateway.go
+++ b/gateway.go
@@ -85,6 +85,7 @@
 	shunFirst    = time.Second
 	shunMost     = 5 * time.Second
 	coldSlack    = 0.5  // part of the cold budget used, for chance and mistaken work
+	coldPart     = 0.1  // a query of at most this part of it may go by turns
 	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
 	killRatio    = 2.5  // a projected run this many times over its estimate is a bad plan
 	overRatio    = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
@@ -243,6 +244,7 @@
 	for _, e := range g.list {
 		e.slow *= keepSlow
 		g.accrue(e)
+		g.coldTurn(e)
 		others, less := &e.count[len(g.order)], e.recent*(1-keepRecent)
 		e.recent, *others = e.recent-less, math.Max(0, *others-less)
 		// Danger: an engine of which nothing is told would look free; it is taken to be like others of its kind.
@@ -851,24 +853,63 @@
 			return false
 		}
 	}
-	return g.coldRoom(e, c.work)
+	return g.coldRoom(e, q)
 }
 
-// coldRoom is rule 4: this gateway's part of what a cold engine may be sent in any window.
-func (g *Gateway) coldRoom(e *engine, work float64) bool {
+// coldRoom is rule 4: this gateway's part of what a cold engine may be sent in any window. Danger: where many
+// gateways share it, the part is under one query, and an engine would idle until it is warm. Small queries
+// then go by turns: each gateway may send one a period, so long that all together send what is allowed. Turns
+// start at random and lapse unused, so that they neither add up nor meet.
+func (g *Gateway) coldRoom(e *engine, q *query) bool {
 	r := &g.cfg.Rules
 	if g.warmth(e) >= 1 || r.ColdMultiple <= 0 || r.ColdWindow <= 0 {
 		e.coldSent = e.coldSent[:0]
 		return true
 	}
+	work := g.workOf(q)
 	from := g.now - r.ColdWindow - g.expiry()
 	e.coldSent = slices.DeleteFunc(e.coldSent, func(s spent) bool { return s.at < from })
 	sum := work
 	for _, s := range e.coldSent {
 		sum += s.work
 	}
-	capacity := e.kind.cores * cpuShare * r.ColdFrom
-	return sum <= coldSlack*r.ColdMultiple*capacity*r.ColdWindow.Seconds()/g.gateways
+	budget := g.coldBudget(e)
+	return sum <= budget/g.gateways || g.now < e.turnEnds && work <= coldPart*budget
+}
+
+// coldBudget is what all gateways together may send a cold engine in a window, by its least present capacity.
+func (g *Gateway) coldBudget(e *engine) float64 {
+	r := &g.cfg.Rules
+	return coldSlack * r.ColdMultiple * e.kind.cores * cpuShare * r.ColdFrom * r.ColdWindow.Seconds()
+}
+
+// coldTurn counts the periods of a cold engine's turns.
+func (g *Gateway) coldTurn(e *engine) {
+	if g.warmth(e) >= 1 || g.cfg.Rules.ColdMultiple <= 0 {
+		return
+	}
+	budget, work := g.coldBudget(e), 0.0
+	for _, c := range g.order {
+		if c.work <= coldPart*budget && c.work > budget/g.gateways {
+			work = math.Max(work, c.work)
+		}
+	}
+	if work <= 0 {
+		return
+	}
+	window := g.cfg.Rules.ColdWindow.Seconds()
+	if e.turn += tickEvery.Seconds() / window * budget / (work * g.gateways); e.turn >= 1 {
+		e.turn--
+		e.turnEnds = g.now + g.cfg.Rules.ColdWindow/2
+	}
+}
+
+// workOf is what a query is taken to need, in thread seconds: its class's mean, or more where it is told.
+func (g *Gateway) workOf(q *query) float64 {
+	if q.told {
+		return math.Max(q.c.work, g.base(q)*q.c.threads)
+	}
+	return q.c.work
 }
 
 // send is the one place where queries are sent.
@@ -891,7 +932,8 @@
 		}
 	}
 	if g.warmth(e) < 1 {
-		e.coldSent = append(e.coldSent, spent{g.now, q.c.work})
+		e.coldSent = append(e.coldSent, spent{g.now, g.workOf(q)})
+		e.turnEnds = 0
 	}
 	g.begin(a)
 }
--- a/state.go
+++ b/state.go
@@ -58,6 +58,8 @@
 	trial              bool // open to one trial query at a time
 	shunUntil, shunFor time.Duration
 	coldSent           []spent
+	turn               float64 // part of the period of a cold engine's turns that has passed
+	turnEnds           time.Duration
 }
 
 type spent struct {
@@ -249,6 +251,7 @@
 	e.bound = g.boundStart(e)
 	e.sick, e.probing, e.trial, e.shunFor = false, false, false, 0
 	e.heard = g.now
+	e.turn, e.turnEnds = g.random.Float64(), 0
 }
 
 // enlist makes room for an engine never seen before.
