--- a/gateway.go
+++ b/gateway.go
@@ -185,8 +185,9 @@
 }
 
 // health takes in whether an attempt was answered. Failures are evidence about the engine, never about
-// interference, so they stay out of the fit.
-func (g *Gateway) health(e *engine, ok bool) {
+// interference, so they stay out of the fit. Danger: a dead process refuses at once, looks idle and draws all
+// until the list tells; one refused connection is enough.
+func (g *Gateway) health(e *engine, ok, down bool) {
 	if ok {
 		e.failing -= failGain * e.failing
 		e.streak = 0
@@ -198,7 +199,9 @@
 		return
 	}
 	e.failing += failGain * (1 - e.failing)
-	e.streak++
+	if e.streak++; down {
+		e.streak = max(e.streak, failStreak)
+	}
 	if e.sick && e.trial || !e.sick && (e.streak >= failStreak || e.failing >= failSick) {
 		g.shun(e)
 	}
@@ -986,7 +989,7 @@
 	case OK:
 		e.good++
 		e.heard = g.now
-		g.health(e, true)
+		g.health(e, true, false)
 		g.learn(a, ev.Took.Seconds())
 		g.memoryKnown(a, ev.NeededMB)
 	case Full:
@@ -995,7 +998,7 @@
 	case Failed, Reset, ConnectFailed:
 		e.bad++
 		e.heard = g.now
-		g.health(e, false)
+		g.health(e, false, ev.Outcome == ConnectFailed)
 	}
 	if ev.Finished && !q.done {
 		g.forget(q)
