--- a/gateway.go
+++ b/gateway.go
@@ -85,7 +85,8 @@
 	shunFirst    = time.Second
 	shunMost     = 5 * time.Second
 	coldSlack    = 0.5  // part of the cold budget used, for chance and mistaken work
-	coldPart     = 0.1  // a query of at most this part of it may go by turns
+	coldSigmas   = 5.0  // between the mean of what goes by turns and the budget
+	coldSize     = 3.0  // of the smallest class's mean work: no larger query goes by a turn
 	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
 	killRatio    = 2.5  // a projected run this many times over its estimate is a bad plan
 	overRatio    = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
@@ -185,9 +186,8 @@
 }
 
 // health takes in whether an attempt was answered. Failures are evidence about the engine, never about
-// interference, so they stay out of the fit. Danger: a dead process refuses at once, looks idle and draws all
-// until the list tells; one refused connection is enough.
-func (g *Gateway) health(e *engine, ok, down bool) {
+// interference, so they stay out of the fit.
+func (g *Gateway) health(e *engine, ok bool) {
 	if ok {
 		e.failing -= failGain * e.failing
 		e.streak = 0
@@ -199,9 +199,7 @@
 		return
 	}
 	e.failing += failGain * (1 - e.failing)
-	if e.streak++; down {
-		e.streak = max(e.streak, failStreak)
-	}
+	e.streak++
 	if e.sick && e.trial || !e.sick && (e.streak >= failStreak || e.failing >= failSick) {
 		g.shun(e)
 	}
@@ -876,34 +874,44 @@
 	for _, s := range e.coldSent {
 		sum += s.work
 	}
-	budget := g.coldBudget(e)
-	return sum <= budget/g.gateways || g.now < e.turnEnds && work <= coldPart*budget
+	return sum <= coldSlack*g.coldBudget(e, r.ColdFrom)/g.gateways ||
+		g.now < e.turnEnds && work <= coldSize*g.smallest()
 }
 
-// coldBudget is what all gateways together may send a cold engine in a window, by its least present capacity.
-func (g *Gateway) coldBudget(e *engine) float64 {
+// coldBudget is what all gateways together may send an engine of some warmth in a window.
+func (g *Gateway) coldBudget(e *engine, warmth float64) float64 {
 	r := &g.cfg.Rules
-	return coldSlack * r.ColdMultiple * e.kind.cores * cpuShare * r.ColdFrom * r.ColdWindow.Seconds()
+	return r.ColdMultiple * e.kind.cores * cpuShare * warmth * r.ColdWindow.Seconds()
+}
+
+// smallest is the least mean work of a class.
+func (g *Gateway) smallest() float64 {
+	work := math.Inf(1)
+	for _, c := range g.order {
+		work = math.Min(work, c.work)
+	}
+	return work
 }
 
-// coldTurn counts the periods of a cold engine's turns.
+// coldTurn counts the periods of a cold engine's turns. They are so long that the mean of what is sent in a
+// window stays under the budget by coldSigmas standard deviations, where sizes spread as widely as their mean.
 func (g *Gateway) coldTurn(e *engine) {
 	if g.warmth(e) >= 1 || g.cfg.Rules.ColdMultiple <= 0 {
 		return
 	}
-	budget, work := g.coldBudget(e), 0.0
-	for _, c := range g.order {
-		if c.work <= coldPart*budget && c.work > budget/g.gateways {
-			work = math.Max(work, c.work)
-		}
-	}
-	if work <= 0 {
+	r := &g.cfg.Rules
+	work := g.smallest()
+	if work <= coldSlack*g.coldBudget(e, r.ColdFrom)/g.gateways {
 		return
 	}
-	window := g.cfg.Rules.ColdWindow.Seconds()
-	if e.turn += tickEvery.Seconds() / window * budget / (work * g.gateways); e.turn >= 1 {
+	grown := math.Pow((g.warmth(e)-r.ColdFrom)/(1-r.ColdFrom), 2) // how it warms is not told: late, then
+	budget := g.coldBudget(e, r.ColdFrom+(1-r.ColdFrom)*grown)
+	k := coldSigmas * math.Sqrt(2*work/budget)
+	share := math.Pow((math.Sqrt(k*k+4)-k)/2, 2) // where share + k*sqrt(share) = 1
+	windows := tickEvery.Seconds() / r.ColdWindow.Seconds()
+	if e.turn += windows * share * budget / (work * g.gateways); e.turn >= 1 {
 		e.turn--
-		e.turnEnds = g.now + g.cfg.Rules.ColdWindow/2
+		e.turnEnds = g.now + r.ColdWindow/2
 	}
 }
 
@@ -989,7 +997,7 @@
 	case OK:
 		e.good++
 		e.heard = g.now
-		g.health(e, true, false)
+		g.health(e, true)
 		g.learn(a, ev.Took.Seconds())
 		g.memoryKnown(a, ev.NeededMB)
 	case Full:
@@ -998,7 +1006,7 @@
 	case Failed, Reset, ConnectFailed:
 		e.bad++
 		e.heard = g.now
-		g.health(e, false, ev.Outcome == ConnectFailed)
+		g.health(e, false)
 	}
 	if ev.Finished && !q.done {
 		g.forget(q)
