--- a/gateway.go
+++ b/gateway.go
@@ -713,7 +713,11 @@
 		idle := e.threads == 0
 		est := g.estimate(q, e)
 		trial := idle && margin <= marginIdle && try < e.kind.cores/g.gateways/q.c.threads
-		if est*margin*caution > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
+		guard := caution
+		if g.warmth(e) < 1 { // what it may be sent is rationed, so it needs no margin
+			guard = 1
+		}
+		if est*margin*guard > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
 			continue
 		}
 		wait = true
