--- a/gateway.go
+++ b/gateway.go
@@ -637,7 +637,9 @@
 		q.waited = max(0, c.Deadline-ev.TimeLeft)
 	}
 	q.unit = math.Max(q.unit, unitLeast*c.Aim.Seconds())
-	c.work += meanGain * (q.unit*math.Max(1, c.scale)*c.threads - c.work)
+	if q.told || !g.cfg.TellsCost {
+		c.work += meanGain * (q.unit*math.Max(1, c.scale)*c.threads - c.work)
+	}
 	g.queries[q.id] = q
 	g.taken = append(g.taken, g.now)
 	if b := g.tenants[ev.Tenant]; b != nil && b.rate > 0 {
@@ -1003,6 +1005,9 @@
 		e.heard = g.now
 		g.health(e, true)
 		g.learn(a, ev.Took.Seconds())
+		if ev.WorkDone > 0 && !q.told { // its aim was a guess
+			q.c.work += meanGain * (ev.WorkDone.Seconds() - q.c.work)
+		}
 		g.memoryKnown(a, ev.NeededMB)
 	case Full:
 		e.heard, e.full = g.now, g.now+fullPressure
