--- a/gateway.go
+++ b/gateway.go
@@ -357,9 +357,6 @@
 	return sum
 }
 
-// fill is the number of threads known to run on an engine for each of its cores.
-func (g *Gateway) fill(e *engine) float64 { return (e.threads + e.count[len(g.order)]) / e.kind.cores }
-
 // paging is how many times slower a query is for want of memory, where engines report what they granted.
 // Danger: in an engine that pages nothing ends, so no outcome shows it, and all it holds keeps its memory.
 func (g *Gateway) paging(q *query, e *engine) float64 {
@@ -373,10 +370,7 @@
 func (g *Gateway) estimate(q *query, e *engine) float64 {
 	i := q.c.index
 	e.count[i]++
-	// Danger: an engine so full that nothing ends teaches no weights; its cores are shared, so that a query's
-	// time grows at least as its threads do.
-	mix := math.Max(1+e.mix(i, e.count), g.fill(e))
-	est := g.base(q) * mix * math.Exp(g.slowness(e)) / g.warmth(e) * g.paging(q, e)
+	est := g.base(q) * (1 + e.mix(i, e.count)) * math.Exp(g.slowness(e)) / g.warmth(e) * g.paging(q, e)
 	e.count[i]--
 	if q.c.loads {
 		// Danger: a load stands still while another holds its tables there.
