--- a/gateway.go
+++ b/gateway.go
@@ -5,7 +5,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"sort"
 	"time"
@@ -99,51 +98,6 @@
 	topRank      = 3
 )
 
-// New returns a gateway with the given settings, or an error naming the setting that contradicts itself.
-func New(cfg Config) (*Gateway, error) {
-	if err := cfg.Validate(); err != nil {
-		return nil, err
-	}
-	g := &Gateway{cfg: cfg, classes: map[string]*class{}, kinds: map[string]*kind{},
-		engines: map[EngineID]*engine{}, byTag: map[uint16]*engine{},
-		queries: map[QueryID]*query{}, attempts: map[attemptKey]*attempt{},
-		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, reports: map[int]report{},
-		gateways: math.Max(1, float64(cfg.Gateways)),
-		margin:   1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
-	for i, c := range cfg.Classes {
-		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
-		k.loads = told(cfg.ClassLoads, i, false)
-		k.work = c.Aim.Seconds() * k.threads
-		g.classes[c.Name] = k
-		g.order = append(g.order, k)
-	}
-	for i, name := range cfg.KindNames {
-		g.kinds[name] = &kind{cores: told(cfg.KindCores, i, 1), memory: told(cfg.KindMemoryMB, i, 0),
-			weights: g.newWeights(othersStart)}
-	}
-	for _, t := range cfg.Tenants {
-		g.tenants[t.Name] = &bucket{level: quotaLeast, rate: t.Quota / g.gateways}
-	}
-	return g, nil
-}
-
-// Handle takes the clock and what has happened since the last call, in order, and appends to actions
-// what is to be done. The gateway keeps neither slice.
-func (g *Gateway) Handle(now time.Duration, events []Event, actions []Action) []Action {
-	g.now, g.out = max(now, g.now), actions
-	if !g.started {
-		g.started = true
-		g.watch()
-	}
-	for i := range events {
-		g.take(&events[i])
-	}
-	g.release()
-	out := g.out
-	g.out = nil
-	return out
-}
-
 func (g *Gateway) expiry() time.Duration { return expiryTicks * max(g.cfg.Tick, time.Millisecond) }
 
 // Engine view and health.
@@ -155,36 +109,6 @@
 	g.askAt = g.now + max(g.cfg.Rules.AskWithin/2, askRetry)
 }
 
-func (g *Gateway) listed(ev *Event) {
-	if ev.Listing == ListFailed {
-		g.askAt = g.now + askRetry
-		return
-	}
-	if ev.Listing != ListChanges {
-		for _, e := range g.list {
-			e.known = false
-		}
-	}
-	for i := range ev.Engines {
-		info := &ev.Engines[i]
-		e := g.engines[info.ID]
-		if e == nil {
-			e = g.enlist(info)
-		} else if info.Started > e.Started {
-			g.reset(e, info) // its process is new: nothing learnt of the old one holds
-		}
-		e.EngineInfo = *info
-		e.known = info.State == EngineOn
-	}
-	g.forgetGone()
-	g.cores = 0
-	for _, e := range g.list {
-		if e.known {
-			g.cores += e.kind.cores
-		}
-	}
-}
-
 // health takes in whether an attempt was answered. Failures are evidence about the engine, never about
 // interference, so they stay out of the fit.
 func (g *Gateway) health(e *engine, ok bool) {
@@ -348,15 +272,6 @@
 
 func (g *Gateway) base(q *query) float64 { return q.unit * q.c.scale }
 
-// mix is what the running queries of this gateway add to a query's time, over its base.
-func (e *engine) mix(i int, n []float64) float64 {
-	sum := 0.0
-	for j, v := range n {
-		sum += math.Max(0, e.kind.weights[i][j]+e.own[i][j]) * v / e.kind.cores
-	}
-	return sum
-}
-
 // paging is how many times slower a query is for want of memory, where engines report what they granted.
 // Danger: in an engine that pages nothing ends, so no outcome shows it, and all it holds keeps its memory.
 func (g *Gateway) paging(q *query, e *engine) float64 {
@@ -465,17 +380,6 @@
 	}
 }
 
-// gather takes in a report.
-func (g *Gateway) gather(peer int, entries []peerEntry) {
-	g.reports[peer] = report{g.now, entries}
-	for _, n := range entries {
-		if e := g.byTag[n.tag]; e != nil {
-			e.goodSum += float64(n.good)
-			e.badSum += float64(n.bad)
-		}
-	}
-}
-
 // tellSums passes on the sums of the reports, to this gateway too.
 // Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty and would draw
 // all, so its load counts for more, and as the most where little good comes from it. What befalls all alike, as
@@ -509,27 +413,10 @@
 	g.told(peerSums, sums)
 }
 
-func (g *Gateway) peerTold(ev *Event) {
-	m, entries := decodePeer(ev.Data)
-	switch {
-	case ev.Peer < 0 || ev.Peer >= g.cfg.Gateways:
-	case m == peerReport:
-		g.gather(ev.Peer, entries)
-	case m == peerSent:
-		g.relay = append(g.relay, entries...)
-		fallthrough
-	case m == peerRelay || m == peerSums:
-		g.told(m, entries)
-	}
-}
-
 // told takes in the load of engines: sums replace what was known, sent queries add to it until the sums hold
 // them. Where our own queries show an engine well, they count for little.
 func (g *Gateway) told(m peerMessage, entries []peerEntry) {
 	threads, cores := 0.0, 0.0
-	for _, k := range g.kinds { // each alone: their order does not matter
-		k.told, k.toldCores = 0, 0
-	}
 	for _, n := range entries {
 		e := g.byTag[n.tag]
 		if e == nil {
@@ -544,16 +431,13 @@
 		}
 		if n.load < peerCap {
 			threads, cores = threads+n.load, cores+e.kind.cores
-			e.kind.told, e.kind.toldCores = e.kind.told+n.load, e.kind.toldCores+e.kind.cores
 		}
 		*others, e.toldAt = math.Max(0, n.load-e.threads)*g.hidden(e)+e.recent, g.now
 	}
 	if cores > 0 {
 		g.crowd, g.toldAt = threads/cores, g.now
-	}
-	for _, k := range g.kinds {
-		if k.toldCores > 0 {
-			k.crowd = k.told / k.toldCores
+		for _, k := range g.kinds {
+			k.crowd = g.crowd
 		}
 	}
 }
@@ -593,19 +477,6 @@
 	e.count[len(g.order)], e.toldAt = threads*g.hidden(e), g.now
 }
 
-// threadsEach is the mean number of threads of our queries that ran on engines of a kind.
-func (g *Gateway) threadsEach(k *kind) float64 {
-	queries, threads := 1.0, 1.0
-	for _, e := range g.list {
-		if e.kind == k {
-			for j, c := range g.order {
-				queries, threads = queries+e.area[j], threads+e.area[j]*c.threads
-			}
-		}
-	}
-	return threads / queries
-}
-
 // Admission and choice.
 
 // queryTaken takes a client's query and lines it up; release decides in the same call.
@@ -619,9 +490,9 @@
 		return
 	}
 	q := &query{id: ev.Query, c: c, tables: ev.Tables, taken: g.now, deadline: g.now + ev.TimeLeft,
-		memory: ev.MemoryMB, unit: c.Aim.Seconds()}
+		memory: ev.MemoryMB, unit: c.Aim.Seconds(), spread: untoldSpread}
 	if ev.HasCost && ev.Cost > 0 {
-		q.unit, q.told = ev.Cost.Seconds()/c.threads, true
+		q.unit, q.told, q.spread = ev.Cost.Seconds()/c.threads, true, 1
 	}
 	// Danger: a refused client comes again, its aim counts from its first try, and work for answers that can
 	// earn nothing keeps an overload alive. The wait it has left tells what has passed, but only on a marked
@@ -884,15 +755,6 @@
 	return r.ColdMultiple * e.kind.cores * cpuShare * warmth * r.ColdWindow.Seconds()
 }
 
-// smallest is the least mean work of a class.
-func (g *Gateway) smallest() float64 {
-	work := math.Inf(1)
-	for _, c := range g.order {
-		work = math.Min(work, c.work)
-	}
-	return work
-}
-
 // coldTurn counts the periods of a cold engine's turns. They are so long that the mean of what is sent in a
 // window stays under the budget by coldSigmas standard deviations, where sizes spread as widely as their mean.
 func (g *Gateway) coldTurn(e *engine) {
@@ -1037,16 +899,7 @@
 		return false
 	}
 	est := math.Max(a.est, g.estimate(q, a.e))
-	return age > overRatio*q.spread()*est && est < g.timeLeft(q)
-}
-
-// spread is how many times further over Est a query must be to be taken for more than a long one.
-// Danger: where its cost is not told, calling off what is only long does its work again and again.
-func (q *query) spread() float64 {
-	if q.told {
-		return 1
-	}
-	return untoldSpread
+	return age > overRatio*q.spread*est && est < g.timeLeft(q)
 }
 
 // progress reads a note on a running attempt. A bad plan is drawn anew for each attempt, so one that is
@@ -1065,7 +918,7 @@
 		ran := (g.now - a.at).Seconds()
 		total := ran / math.Max(ev.Value, 1e-3)
 		lawful := !q.done && !a.cancelled && q.c.Effect == Safe && q.kills < killsMost && g.mayTryAgain(q)
-		if lawful && total > killRatio*q.spread()*a.est && total-ran > killGain*q.spread()*a.est {
+		if lawful && total > killRatio*q.spread*a.est && total-ran > killGain*q.spread*a.est {
 			q.kills++
 			g.cancel(a)
 		}
--- a/state.go
+++ b/state.go
@@ -23,11 +23,9 @@
 }
 
 type kind struct {
-	cores, memory  float64 // memory in MB
-	slow           float64 // log of its slowness
-	crowd, granted float64 // threads a core, and memory granted over memory, as told or reported
-	told           float64 // threads and cores of the sums just read
-	toldCores      float64
+	cores, memory  float64     // memory in MB
+	slow           float64     // log of its slowness
+	crowd, granted float64     // threads a core, and memory granted over memory, as told or reported
 	weights        [][]float64 // per class: time a running query of each class adds, over base, per core
 }
 
@@ -97,6 +95,7 @@
 
 	deadline, taken, waited time.Duration // waited: what the client had waited in earlier tries
 	waits                   time.Duration // held until then for reports that were asked for
+	spread                  float64       // how much further over Est it may be than a query of told cost
 	unit, memory            float64       // told estimate over threads, or the aim, in seconds; told MB
 	tries, kills            int
 	over, told, held, done  bool // over: beyond its tenant's share; told: its cost was estimated
