--- a/gateway.go
+++ b/gateway.go
@@ -91,7 +91,7 @@
 	overRatio    = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
 	killGain     = 1.3  // what is left must exceed a fresh run's estimate by this ratio
 	killsMost    = 2    // a query that is long every time is just long
-	untoldSpread = 2.0  // a query whose cost is not told may be so much longer than its class's mean
+	untoldSpread = 2.0  // limits of bad plans are so much wider without a told cost
 	grantStart   = 1.25 // memory granted over the estimate, adapted by class
 	grantUp      = 0.06
 	grantDown    = 0.01
