--- a/gateway.go
+++ b/gateway.go
@@ -72,12 +72,12 @@
 	reportMost    = 16.0             // a report counts as at most so many threads a core
 
 	// Health.
-	failGain     = 0.2 // gain of an engine's share of failed attempts
-	failSick     = 0.4 // share of failures from which an engine is sick
-	failStreak   = 3   // failures in a row from which it is sick
-	failWeight   = 4.0 // an estimate grows by this times the failure share...
-	failFinal    = 16.0
-	silentRatio  = 3.0 // an attempt this far over its estimate, nothing heard since, is a sign of silence
+	failGain     = 0.2  // gain of an engine's share of failed attempts
+	failSick     = 0.4  // share of failures from which an engine is sick
+	failStreak   = 3    // failures in a row from which it is sick
+	failWeight   = 4.0  // an estimate grows by this times the failure share...
+	failFinal    = 16.0 // ...or this, where a failure would be the last
+	silentRatio  = 3.0  // an attempt this far over its estimate, nothing heard since, is a sign of silence
 	silentLeast  = 700 * time.Millisecond
 	silentCount  = 2 // attempts that must show silence
 	trialsGood   = 2 // answered trials after which an engine is well again
@@ -88,7 +88,7 @@
 	coldSize     = 3.0  // of the smallest class's mean work: no larger query goes by a turn
 	cpuShare     = 0.85 // a capacity is the rate at which cores are this busy
 	killRatio    = 2.5  // a projected run this many times over its estimate is a bad plan
-	overRatio    = 3.0  // so is a run this many times over it of which nothing is heard, or its answer is lost
+	overRatio    = 3.0  // so is one so far over it of which nothing is heard; or its answer is lost
 	killGain     = 1.3  // what is left must exceed a fresh run's estimate by this ratio
 	killsMost    = 2    // a query that is long every time is just long
 	untoldSpread = 2.0  // limits of bad plans are so much wider without a told cost
@@ -172,7 +172,7 @@
 		g.coldTurn(e)
 		others, less := &e.count[len(g.order)], e.recent*(1-keepRecent)
 		e.recent, *others = e.recent-less, math.Max(0, *others-less)
-		// Danger: an engine of which nothing is told would look free; it is taken to be like others of its kind.
+		// Danger: an engine of which nothing is told would look free; it is taken to be like its kind.
 		if g.now-e.toldAt > newsHalfLife {
 			*others += (1 - keepNews) * (e.kind.crowd*g.hidden(e)*e.kind.cores - *others)
 			e.granted += (1 - keepNews) * (e.kind.granted - e.granted)
@@ -261,8 +261,8 @@
 // clip limits an error, in logarithms, to what one outcome may count for.
 func clip(miss float64) float64 { return min(max(miss, -math.Log(robustRatio)), math.Log(robustRatio)) }
 
-// fleetSeen takes in what an attempt tells of the slowness of its kind and of the fleet: when it ends in good time, else each time
-// it becomes overdue.
+// fleetSeen takes in what an attempt tells of the slowness of its kind and of the fleet: when it ends in good
+// time, else each time it becomes overdue.
 func (g *Gateway) fleetSeen(k *kind, ratio float64) {
 	g.fleet += fleetGain * clip(ratio-g.fleet)
 	k.slow += fleetGain * clip(ratio-k.slow)
@@ -382,8 +382,8 @@
 
 // tellSums passes on the sums of the reports, to this gateway too.
 // Danger: an engine that fails at once, or whose attempts are taken for lost, looks empty and would draw
-// all, so its load counts for more, and as the most where little good comes from it. What befalls all alike, as
-// answers lost on the way, is no engine's fault, and would pass for an overload.
+// all, so its load counts for more, and as the most where little good comes from it. What befalls all alike,
+// as answers lost on the way, is no engine's fault, and would pass for an overload.
 func (g *Gateway) tellSums() {
 	good, bad := 0.0, 0.0
 	for _, e := range g.list {
@@ -526,11 +526,10 @@
 // full they are; the query waits for the reports. Danger: a jammed engine answers no query, so it reports
 // nothing of itself, and one that fills up looks as free as it was when last heard of.
 func (g *Gateway) scout(q *query) {
-	if !g.cfg.MayProbe || len(g.cfg.ReportFields) == 0 || g.now-g.toldAt < newsHalfLife ||
-		g.base(q)*q.c.threads < tellLeast {
+	asked, short := 0, g.base(q)*q.c.threads < tellLeast
+	if !g.cfg.MayProbe || len(g.cfg.ReportFields) == 0 || g.now-g.toldAt < newsHalfLife || short {
 		return
 	}
-	asked := 0
 	for _, i := range g.random.Perm(len(g.list)) {
 		e := g.list[i]
 		if asked < scouts && g.mayUse(q, e) && !e.sick && e.kind.cores/g.gateways < q.c.threads {
@@ -567,8 +566,7 @@
 		size := g.base(q) * q.c.threads / q.c.work
 		margin = math.Pow(math.Max(1, size/sizeFair), 2)
 	}
-	// An engine that runs none of ours has our part of its cores free, and takes the next; where that part is
-	// smaller than the query, by a chance only.
+	// An engine that runs none of ours takes the next; where our part of it is smaller, by a chance only.
 	for _, e := range g.list {
 		if !g.mayUse(q, e) {
 			continue
@@ -580,9 +578,13 @@
 		idle := e.threads == 0
 		est := g.estimate(q, e)
 		trial := idle && margin <= marginIdle && try < e.kind.cores/g.gateways/q.c.threads
-		guard := caution
-		if g.warmth(e) < 1 { // what it may be sent is rationed, so it needs no margin
-			guard = 1
+		// Danger: weights learn of a crowd late, and never while nothing ends. Cores are shared, so a query is
+		// let in by a time that grows as threads a core do; it does not choose by it, as told loads are old
+		// and a steep choice herds. A cold engine's intake is rationed and needs no guard.
+		guard := 1.0
+		if g.warmth(e) >= 1 {
+			fill := (e.threads + e.count[len(g.order)]) / e.kind.cores
+			guard = caution * math.Max(1, fill/(1+e.mix(q.c.index, e.count)))
 		}
 		if est*margin*guard > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
 			continue
@@ -593,11 +595,11 @@
 			continue
 		}
 		weight := failWeight
-		if q.c.Effect == Unsafe { // a failure would be its last
+		if q.c.Effect == Unsafe {
 			weight = failFinal
 		}
-		// Danger: while weights are small all estimates are alike, and the engine that looks fastest
-		// would draw everything. Threads of ours over our part of the cores keep near-ties apart.
+		// Danger: while weights are small the engine that looks fastest would draw everything. Threads of
+		// ours over our part of the cores keep near-ties apart.
 		cost := est * (1 + weight*e.failing) * (1 + spreadWeight*(e.threads+q.c.threads)/g.boundStart(e))
 		if e == q.avoid { // only where there is no other
 			cost, idle = cost*failFinal, false
@@ -756,7 +758,7 @@
 }
 
 // coldTurn counts the periods of a cold engine's turns. They are so long that the mean of what is sent in a
-// window stays under the budget by coldSigmas standard deviations, where sizes spread as widely as their mean.
+// window stays under the budget by coldSigmas standard deviations, sizes spreading as widely as their mean.
 func (g *Gateway) coldTurn(e *engine) {
 	if g.warmth(e) >= 1 || g.cfg.Rules.ColdMultiple <= 0 {
 		return
