--- a/events.go
+++ b/events.go
@@ -19,7 +19,7 @@
 		queries: map[QueryID]*query{}, attempts: map[attemptKey]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, reports: map[int]report{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
-		margin:   1, toldAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
+		margin:   1, toldAt: -newsHalfLife, reportedAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
 		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
 		k.loads = told(cfg.ClassLoads, i, false)
--- a/gateway.go
+++ b/gateway.go
@@ -186,7 +186,9 @@
 				seen := math.Log(a.late * a.est / a.base)
 				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
 				e.slow += slowGain * miss
-				g.fleetSeen(e.kind, seen-e.slow)
+				if g.now-g.reportedAt > newsHalfLife { // reports show a crowd; what is overdue may be lost
+					g.fleetSeen(e.kind, seen-e.slow)
+				}
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
 				if a.late > lostRatio && !a.lost {
@@ -239,7 +241,7 @@
 	g.sickAll = sick*2 > all
 	g.pressure = math.Exp(g.fleet) / slowBest
 	step := -1.0 // without news the margin falls back: slowness alone may be no overload, and stay
-	if g.now-g.toldAt < newsHalfLife {
+	if g.now-max(g.toldAt, g.reportedAt) < newsHalfLife {
 		g.pressure = g.crowd / crowdBest
 		step = math.Log(math.Max(g.pressure, pressureLeast))
 	}
@@ -473,6 +475,13 @@
 	}
 	threads = math.Min(threads, reportMost*e.kind.cores)
 	e.kind.crowd += reportGain * (threads/e.kind.cores - e.kind.crowd)
+	sum, cores := 0.0, 0.0
+	for _, v := range g.list {
+		if v.known {
+			sum, cores = sum+v.kind.crowd*v.kind.cores, cores+v.kind.cores
+		}
+	}
+	g.crowd, g.reportedAt = sum/math.Max(cores, 1), g.now
 	g.accrue(e)
 	e.count[len(g.order)], e.toldAt = threads*g.hidden(e), g.now
 }
@@ -578,9 +587,9 @@
 		idle := e.threads == 0
 		est := g.estimate(q, e)
 		trial := idle && margin <= marginIdle && try < e.kind.cores/g.gateways/q.c.threads
-		// Danger: weights learn of a crowd late, and never while nothing ends. Cores are shared, so a query is
-		// let in by a time that grows as threads a core do; it does not choose by it, as told loads are old
-		// and a steep choice herds. A cold engine's intake is rationed and needs no guard.
+		// Danger: weights learn of a crowd late, and never while nothing ends. Cores are shared, so a query
+		// is let in by a time that grows as threads a core do; it does not choose by it, as told loads are
+		// old and a steep choice herds. A cold engine's intake is rationed and needs no guard.
 		guard := 1.0
 		if g.warmth(e) >= 1 {
 			fill := (e.threads + e.count[len(g.order)]) / e.kind.cores
--- a/state.go
+++ b/state.go
@@ -139,23 +139,23 @@
 	askAt    time.Duration
 	started  bool
 
-	gateways       float64
-	fleet          float64 // log of the fleet's slowness, of which an engine's own is a deviation
-	threads        float64 // ours running on all engines
-	cores          float64 // told cores of all engines on the list
-	crowd          float64 // threads a core over the whole fleet, as told
-	reports        map[int]report
-	talkAt         time.Duration
-	relay          []peerEntry // entries of sent queries to pass on
-	gathers        int         // reports sent since this gateway last became a hub; 0: it is none
-	median         float64     // of the engines' slowness
-	sweepAt        int         // number of order keys at which those with nothing left are forgotten
-	sickAll        bool        // so many engines are sick that it is the fleet
-	pressed        bool        // the fleet is under pressure
-	pressure       float64
-	margin         float64
-	toldAt         time.Duration
-	taken, further []time.Duration // times of queries taken and of further attempts (rule 7)
+	gateways           float64
+	fleet              float64 // log of the fleet's slowness, of which an engine's own is a deviation
+	threads            float64 // ours running on all engines
+	cores              float64 // told cores of all engines on the list
+	crowd              float64 // threads a core over the whole fleet, as told
+	reports            map[int]report
+	talkAt             time.Duration
+	relay              []peerEntry // entries of sent queries to pass on
+	gathers            int         // reports sent since this gateway last became a hub; 0: it is none
+	median             float64     // of the engines' slowness
+	sweepAt            int         // number of order keys at which those with nothing left are forgotten
+	sickAll            bool        // so many engines are sick that it is the fleet
+	pressed            bool        // the fleet is under pressure
+	pressure           float64
+	margin             float64
+	toldAt, reportedAt time.Duration   // when peers, and engines, last told of load
+	taken, further     []time.Duration // times of queries taken and of further attempts (rule 7)
 }
 
 // newWeights returns zero weights. The last column is for the threads of other gateways, all classes
