--- a/gateway.go
+++ b/gateway.go
@@ -241,7 +241,10 @@
 	g.sickAll = sick*2 > all
 	g.pressure = math.Exp(g.fleet) / slowBest
 	step := -1.0 // without news the margin falls back: slowness alone may be no overload, and stay
-	if g.now-max(g.toldAt, g.reportedAt) < newsHalfLife {
+	if g.now-g.reportedAt < newsHalfLife {
+		g.pressure = g.crowd / crowdBest
+	}
+	if g.now-g.toldAt < newsHalfLife {
 		g.pressure = g.crowd / crowdBest
 		step = math.Log(math.Max(g.pressure, pressureLeast))
 	}
