--- a/gateway.go
+++ b/gateway.go
@@ -64,12 +64,13 @@
 	sickKeep     = 0.8                    // part of the evidence kept each time sums are told
 
 	// What engines report.
-	reportGain    = 0.2 // gain of a kind's crowding, fed by every report
-	scouts        = 3   // engines probed before a long query is placed
-	pagePower     = 2.5 // at twice its memory an engine that pages is some six times slower
-	scoutWait     = 25 * time.Millisecond
-	crowdHalfLife = 10 * time.Second // of a kind's crowding while nothing is reported
-	reportMost    = 16.0             // a report counts as at most so many threads a core
+	reportGain     = 0.2                    // gain of a kind's crowding, fed by every report
+	scouts         = 3                      // engines probed before a long query is placed
+	reportHalfLife = 500 * time.Millisecond // of a report, towards what the kind reports on average
+	pagePower      = 2.5                    // at twice its memory an engine that pages is some six times slower
+	scoutWait      = 25 * time.Millisecond
+	crowdHalfLife  = 10 * time.Second // of a kind's crowding while nothing is reported
+	reportMost     = 16.0             // a report counts as at most so many threads a core
 
 	// Health.
 	failGain     = 0.2  // gain of an engine's share of failed attempts
@@ -165,6 +166,10 @@
 		g.kinds[name].slow *= kept(slowHalfLife)
 	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
+	fresh := newsHalfLife
+	if g.reportedAt > g.toldAt { // others act on the same report, so it is soon no longer true
+		fresh, keepNews = 0, kept(reportHalfLife)
+	}
 	sick, pressed, all := 0, 0, 0
 	for _, e := range g.list {
 		e.slow *= keepSlow
@@ -173,7 +178,7 @@
 		others, less := &e.count[len(g.order)], e.recent*(1-keepRecent)
 		e.recent, *others = e.recent-less, math.Max(0, *others-less)
 		// Danger: an engine of which nothing is told would look free; it is taken to be like its kind.
-		if g.now-e.toldAt > newsHalfLife {
+		if g.now-e.toldAt > fresh {
 			*others += (1 - keepNews) * (e.kind.crowd*g.hidden(e)*e.kind.cores - *others)
 			e.granted += (1 - keepNews) * (e.kind.granted - e.granted)
 		}
