--- a/gateway.go
+++ b/gateway.go
@@ -34,7 +34,7 @@
 	// Pressure and margin.
 	slowHalfLife  = 40 * time.Second // of slowness: at full size an engine gives an outcome every 10 s or so
 	slowBest      = 2.0              // slowness of the fleet that is no pressure, where threads are untold
-	crowdBest     = 2.0              // told threads a core over the fleet that the margin aims at
+	crowdBest     = 1.3              // told threads a core over the fleet that the margin aims at
 	marginGain    = 0.5              // part of the pressure's logarithm that the margin takes up a second
 	pressureLeast = 0.25             // less pressure lets the margin fall no faster
 	marginMost    = 8.0
