--- a/events.go
+++ b/events.go
@@ -139,3 +139,22 @@
 	}
 	return sum
 }
+
+// queries is the number of our queries that run on an engine.
+func (e *engine) queries() (sum float64) {
+	for _, n := range e.count[:len(e.count)-1] {
+		sum += n
+	}
+	return sum
+}
+
+// meanCrowd is the kinds' crowding over all engines on the list, by their cores.
+func (g *Gateway) meanCrowd() float64 {
+	sum, cores := 0.0, 1e-9
+	for _, e := range g.list {
+		if e.known {
+			sum, cores = sum+e.kind.crowd*e.kind.cores, cores+e.kind.cores
+		}
+	}
+	return sum / cores
+}
--- a/gateway.go
+++ b/gateway.go
@@ -160,10 +160,9 @@
 	g.talk()
 	g.scratch = g.scratch[:0]
 	g.crowd *= kept(newsHalfLife)
-	for _, name := range g.cfg.KindNames {
-		g.kinds[name].crowd *= kept(crowdHalfLife)
-		g.kinds[name].granted *= kept(crowdHalfLife)
-		g.kinds[name].slow *= kept(slowHalfLife)
+	for _, k := range g.kinds { // each alone, so that their order does not matter
+		k.crowd, k.granted = k.crowd*kept(crowdHalfLife), k.granted*kept(crowdHalfLife)
+		k.slow *= kept(slowHalfLife)
 	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
 	fresh := newsHalfLife
@@ -189,8 +188,7 @@
 			// answer tells nothing of slowness; where notes show what runs, none is taken for that.
 			if age > a.late*a.est && !a.cancelled && !(a.lost && g.cfg.ProgressEvery == 0) {
 				seen := math.Log(a.late * a.est / a.base)
-				miss := math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
-				e.slow += slowGain * miss
+				e.slow += slowGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
 				if g.now-g.reportedAt > newsHalfLife { // reports show a crowd; what is overdue may be lost
 					g.fleetSeen(e.kind, seen-e.slow)
 				}
@@ -246,11 +244,10 @@
 	g.sickAll = sick*2 > all
 	g.pressure = math.Exp(g.fleet) / slowBest
 	step := -1.0 // without news the margin falls back: slowness alone may be no overload, and stay
-	if g.now-g.reportedAt < newsHalfLife {
+	if g.now-max(g.toldAt, g.reportedAt) < newsHalfLife {
 		g.pressure = g.crowd / crowdBest
 	}
 	if g.now-g.toldAt < newsHalfLife {
-		g.pressure = g.crowd / crowdBest
 		step = math.Log(math.Max(g.pressure, pressureLeast))
 	}
 	g.margin = min(max(g.margin*math.Exp(step*marginGain*tickEvery.Seconds()), 1), marginMost)
@@ -260,12 +257,10 @@
 // kept is the share of a value kept from tick to tick, given its half-life.
 func kept(half time.Duration) float64 { return math.Exp2(-tickEvery.Seconds() / half.Seconds()) }
 
-// hidden is how much of an engine our own queries leave in the dark: near 1 where our part of its cores is
-// small, near 0 where it is several.
+// hidden is how much of an engine our queries leave in the dark: near 1 where our part of its cores is small.
 func (g *Gateway) hidden(e *engine) float64 { return math.Pow(1+e.kind.cores/g.gateways, -2) }
 
-// slowness is the logarithm by which an engine is slower than its mix explains: by its own outcomes, and by
-// its kind's as far as its own leave us in the dark.
+// slowness is the logarithm by which an engine, and as far as that is hidden its kind, is slower than Est.
 func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*e.kind.slow }
 
 // clip limits an error, in logarithms, to what one outcome may count for.
@@ -464,13 +459,7 @@
 		switch v := values[i]; {
 		case math.IsNaN(v) || v < 0:
 		case name == "concurrent": // queries, of which ours show how many threads each has
-			queries := 0.0
-			for _, a := range e.running {
-				if !a.lost {
-					queries++
-				}
-			}
-			threads = math.Max(0, v-queries) * g.threadsEach(e.kind)
+			threads = math.Max(0, v-e.queries()) * g.threadsEach(e.kind)
 		case name == "x0": // share of its memory that is granted
 			e.granted = math.Min(v, reportMost)
 			e.kind.granted += reportGain * (e.granted - e.kind.granted)
@@ -483,13 +472,7 @@
 	}
 	threads = math.Min(threads, reportMost*e.kind.cores)
 	e.kind.crowd += reportGain * (threads/e.kind.cores - e.kind.crowd)
-	sum, cores := 0.0, 0.0
-	for _, v := range g.list {
-		if v.known {
-			sum, cores = sum+v.kind.crowd*v.kind.cores, cores+v.kind.cores
-		}
-	}
-	g.crowd, g.reportedAt = sum/math.Max(cores, 1), g.now
+	g.crowd, g.reportedAt = g.meanCrowd(), g.now
 	g.accrue(e)
 	e.count[len(g.order)], e.toldAt = threads*g.hidden(e), g.now
 }
