--- a/gateway.go
+++ b/gateway.go
@@ -67,7 +67,7 @@
 	reportGain     = 0.2                    // gain of a kind's crowding, fed by every report
 	scouts         = 3                      // engines probed before a long query is placed
 	reportHalfLife = 500 * time.Millisecond // of a report, towards what the kind reports on average
-	pagePower      = 2.5                    // at twice its memory an engine that pages is some six times slower
+	pagePower      = 2.5                    // at twice its memory a paging engine is some six times slower
 	scoutWait      = 25 * time.Millisecond
 	crowdHalfLife  = 10 * time.Second // of a kind's crowding while nothing is reported
 	reportMost     = 16.0             // a report counts as at most so many threads a core
--- a/reports_test.go
+++ b/reports_test.go
@@ -68,6 +68,35 @@
 	}
 }
 
+// TestReportSoonCountsAsItsKind: many gateways act on one report, so an engine that looked free a second ago is
+// taken to be as full as its kind (incident id9c0b3).
+func TestReportSoonCountsAsItsKind(t *testing.T) {
+	b := newBench(t, reportConfig("concurrent"), fleet(5)...)
+	b.at(ms, reports("e00", 0))
+	for range 30 {
+		b.at(50*ms, Event{Type: TimerDue}, reports("e01", 40), reports("e02", 40))
+	}
+	free, full := b.g.engines["e00"].count[len(b.g.order)], b.g.engines["e01"].count[len(b.g.order)]
+	if free < full/2 {
+		t.Errorf("%.1f threads counted on an engine free 1.5 s ago, %.1f on the others", free, full)
+	}
+}
+
+// TestLostAnswersAreNoPressureWhereEnginesReport: overdue attempts read as an overload of half-used engines
+// (register, big-1).
+func TestLostAnswersAreNoPressureWhereEnginesReport(t *testing.T) {
+	b := newBench(t, reportConfig("concurrent"), fleet(3)...)
+	for id := range QueryID(30) {
+		b.ask(id+1, "short", "") // none of them is ever answered
+		for range 10 {
+			b.at(50*ms, Event{Type: TimerDue}, reports("e00", 4), reports("e01", 4), reports("e02", 4))
+		}
+	}
+	if b.g.pressure > 1 || b.g.kinds["std"].slow > 0.5 {
+		t.Errorf("pressure %.2f, slowness %.2f though engines report half a thread a core", b.g.pressure, b.g.kinds["std"].slow)
+	}
+}
+
 // TestLongQueryAsksFirst: a jammed engine answers no query, so only a probe shows it (register, big-2).
 func TestLongQueryAsksFirst(t *testing.T) {
 	b := newBench(t, reportConfig("concurrent"), fleet(5)...)
--- a/rules_test.go
+++ b/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -263,6 +264,12 @@
 func newChecker(t *testing.T, seed uint64) *checker {
 	c := &checker{t: t, r: rand.New(rand.NewPCG(seed, 7)), cfg: testConfig(), now: time.Hour, next: 1}
 	c.cfg.AskList = seed%2 == 1
+	if seed%4 > 1 { // probes and reports, no come-back time, a shorter grace; many gateways, no rule on cold engines
+		c.cfg.MayProbe, c.cfg.ReportFields = true, []string{"concurrent", "depth", "load_share", "x0"}
+		c.cfg.WhenShort, c.cfg.KindMemoryMB, c.cfg.TellsCost = ShortagePage, []float64{8192, 16384}, true
+		c.cfg.MayComeBack, c.cfg.Rules.DrainGrace, c.cfg.Rules.ColdFor = false, 250*ms, 0
+		c.cfg.Gateways, c.cfg.ProgressEvery = 20, 0
+	}
 	c.classes = map[string]Class{}
 	for _, k := range c.cfg.Classes {
 		c.classes[k.Name] = k
@@ -403,13 +410,23 @@
 	if o == OK {
 		q.over = true
 	}
-	ev := Event{Type: AttemptDone, Query: id, Attempt: n, Engine: a.Engine, Outcome: o, Took: c.now - q.sentAt[n], Finished: q.over}
+	ev := Event{Type: AttemptDone, Query: id, Attempt: n, Engine: a.Engine, Outcome: o, Took: c.now - q.sentAt[n], Finished: q.over,
+		WorkDone: time.Duration(c.r.IntN(900)) * ms}
+	ev.Report, ev.HasReport = c.report()
 	if c.r.IntN(10) == 0 {
 		return []Event{ev, ev}
 	}
 	return []Event{ev}
 }
 
+// report is what an engine tells of itself, at times odd, where the settings have reports.
+func (c *checker) report() ([]float64, bool) {
+	if len(c.cfg.ReportFields) == 0 {
+		return nil, false
+	}
+	return [][]float64{{3, 0, 0.4, 0.2}, {40, 2, 1, 3}, {1}, nil, {math.NaN(), -1, 1e300, math.Inf(1)}}[c.r.IntN(5)], true
+}
+
 func (c *checker) change() Event {
 	e := EngineInfo{ID: EngineID(fmt.Sprint("e", c.r.IntN(5))), Kind: "std", Zone: "a", Cell: c.r.IntN(2)}
 	if old, ok := c.engines[e.ID]; ok {
@@ -466,7 +483,17 @@
 		c.checkSend(a, q)
 		q.out[q.tries], q.sentAt[q.tries] = a, c.now
 		q.tries++
+	case Probe:
+		if !c.cfg.MayProbe {
+			c.t.Errorf("a probe where none is allowed")
+		}
+		ev := Event{Type: ProbeDone, Engine: a.Engine, Outcome: []Outcome{OK, TimedOut}[c.r.IntN(2)]}
+		ev.Report, ev.HasReport = c.report()
+		return []Event{ev}
 	case Refuse, Fail:
+		if a.Wait > 0 && !c.cfg.MayComeBack {
+			c.t.Errorf("query %d refused with a come-back time where none is allowed", a.Query)
+		}
 		if q.over {
 			c.t.Errorf("rule 1: query %d answered twice", a.Query)
 		}
