--- a/gateway.go
+++ b/gateway.go
@@ -590,7 +590,7 @@
 			continue
 		}
 		wait = true
-		if full := g.pressure > 1 && g.threads >= boundMost*g.part(); full || blocked[e] || g.bounded(e) {
+		if blocked[e] || g.bounded(e) {
 			blocked[e] = true
 			continue
 		}
@@ -616,10 +616,6 @@
 
 // Thread bound and hold queue.
 
-// part is the bound on our threads over all engines: where engines have fewer cores than there are gateways,
-// bounds of one thread each sum to far more than an engine holds, and would never bind.
-func (g *Gateway) part() float64 { return math.Max(1, g.cores/g.gateways) }
-
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
 
 // bounded reports whether the thread bound keeps the next query from an engine: only under pressure.
