--- a/events.go
+++ b/events.go
@@ -76,6 +76,12 @@
 		e.known = info.State == EngineOn
 	}
 	g.forgetGone()
+	g.cores = 0
+	for _, e := range g.list {
+		if e.known {
+			g.cores += e.kind.cores
+		}
+	}
 }
 
 func (g *Gateway) peerTold(ev *Event) {
--- a/gateway.go
+++ b/gateway.go
@@ -50,6 +50,7 @@
 	boundCores    = 1.5         // ...unless calm outcomes have widened it, to this many threads a core
 	boundUsed     = 0.5         // it widens only while this share of it is in use
 	boundCut      = 0.9         // the bound shrinks to this share, at most once a typical latency
+	boundFleet    = 8.0         // under the fleet's pressure ours over all engines stay under so many times our part
 	spreadWeight  = 1.0         // an estimate counts as this much more where we fill our part of the cores
 	tieSpread     = 1.0         // estimates this close, as a share, are alike: chance decides among them
 	quotaBurst    = 2.0         // seconds of a tenant's share that may come at once...
@@ -418,8 +419,7 @@
 	g.told(peerSums, sums)
 }
 
-// told takes in the load of engines: sums replace what was known, sent queries add to it until the sums hold
-// them. Where our own queries show an engine well, they count for little.
+// told takes in loads: sums replace what was known, sent queries add to it until the sums hold them.
 func (g *Gateway) told(m peerMessage, entries []peerEntry) {
 	threads, cores := 0.0, 0.0
 	for _, n := range entries {
@@ -454,16 +454,16 @@
 	if g.now-g.toldAt < newsHalfLife || len(values) != len(g.cfg.ReportFields) {
 		return
 	}
-	threads := -1.0
+	threads, counted := -1.0, false
 	for i, name := range g.cfg.ReportFields {
 		switch v := values[i]; {
 		case math.IsNaN(v) || v < 0:
 		case name == "concurrent": // queries, of which ours show how many threads each has
-			threads = math.Max(0, v-e.queries()) * g.threadsEach(e.kind)
+			threads, counted = math.Max(0, v-e.queries())*g.threadsEach(e.kind), true
 		case name == "x0": // share of its memory that is granted
 			e.granted = math.Min(v, reportMost)
 			e.kind.granted += reportGain * (e.granted - e.kind.granted)
-		case name == "load_share" && threads < 0:
+		case name == "load_share" && !counted:
 			threads = math.Max(0, v*e.kind.cores-e.threads)
 		}
 	}
@@ -472,7 +472,9 @@
 	}
 	threads = math.Min(threads, reportMost*e.kind.cores)
 	e.kind.crowd += reportGain * (threads/e.kind.cores - e.kind.crowd)
-	g.crowd, g.reportedAt = g.meanCrowd(), g.now
+	if counted { // use of cores ends at one and shows no crowd
+		g.crowd, g.reportedAt = g.meanCrowd(), g.now
+	}
 	g.accrue(e)
 	e.count[len(g.order)], e.toldAt = threads*g.hidden(e), g.now
 }
@@ -590,7 +592,7 @@
 			continue
 		}
 		wait = true
-		if blocked[e] || g.bounded(e) {
+		if full := g.pressure > 1 && g.threads >= boundFleet*g.part(); full || blocked[e] || g.bounded(e) {
 			blocked[e] = true
 			continue
 		}
@@ -616,6 +618,9 @@
 
 // Thread bound and hold queue.
 
+// part is our part of all cores: where gateways outnumber cores, bounds of one thread an engine never bind.
+func (g *Gateway) part() float64 { return math.Max(1, g.cores/g.gateways) }
+
 func (g *Gateway) boundStart(e *engine) float64 { return math.Max(1, e.kind.cores/g.gateways) }
 
 // bounded reports whether the thread bound keeps the next query from an engine: only under pressure.
@@ -641,8 +646,7 @@
 	}
 }
 
-// release lets held queries leave, earliest deadline first, and refuses those whose estimate no longer
-// fits. Newcomers pass through here too, so nothing overtakes an earlier deadline.
+// release lets held queries and newcomers leave, earliest deadline first, and refuses what no longer fits.
 func (g *Gateway) release() {
 	if len(g.held) == 0 {
 		return
--- a/peers_test.go
+++ b/peers_test.go
@@ -186,7 +186,7 @@
 		e.heard = b.now
 		b.at(50*ms, Event{Type: TimerDue})
 	}
-	if e.threads != 0 {
+	if e.threads != 0 || b.g.threads != 0 {
 		t.Errorf("an attempt long overdue still holds %v threads", e.threads)
 	}
 }
--- a/reports_test.go
+++ b/reports_test.go
@@ -306,3 +306,13 @@
 		})
 	}
 }
+
+// TestUseOfCoresGivesNoPressure: it ends at one, so a crowd never shows in it (Montreal grown).
+func TestUseOfCoresGivesNoPressure(t *testing.T) {
+	b := newBench(t, reportConfig("load_share"), fleet(3)...)
+	b.g.fleet = 3 // outcomes show a fleet twenty times slower than its bases
+	b.at(50*ms, reports("e00", 1), reports("e01", 1), reports("e02", 1), Event{Type: TimerDue})
+	if b.g.pressure < 1 {
+		t.Errorf("pressure %.2f: cores in full use read as calm", b.g.pressure)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -141,6 +141,8 @@
 
 	gateways           float64
 	fleet              float64 // log of the fleet's slowness, of which an engine's own is a deviation
+	threads            float64 // ours running on all engines
+	cores              float64 // told cores of all engines on the list
 	crowd              float64 // threads a core over the whole fleet, as told
 	reports            map[int]report
 	talkAt             time.Duration
@@ -222,6 +224,7 @@
 	e.running = append(e.running, a)
 	e.count[q.c.index]++
 	e.threads += q.c.threads
+	g.threads += q.c.threads
 	g.attempts[attemptKey{q.id, a.trial}] = a
 }
 
@@ -347,6 +350,7 @@
 	g.accrue(a.e)
 	a.e.count[a.q.c.index]--
 	a.e.threads -= a.q.c.threads
+	g.threads -= a.q.c.threads
 }
 
 // forgetGone drops engines that left the list and run nothing; a cold one stays, with what it was sent.
