--- a/gateway.go
+++ b/gateway.go
@@ -50,7 +50,7 @@
 	boundCores    = 1.5         // ...unless calm outcomes have widened it, to this many threads a core
 	boundUsed     = 0.5         // it widens only while this share of it is in use
 	boundCut      = 0.9         // the bound shrinks to this share, at most once a typical latency
-	boundFleet    = 8.0         // under the fleet's pressure ours over all engines stay under so many times our part
+	boundFleet    = 8.0         // under pressure ours over all engines stay under so many of our parts
 	spreadWeight  = 1.0         // an estimate counts as this much more where we fill our part of the cores
 	tieSpread     = 1.0         // estimates this close, as a share, are alike: chance decides among them
 	quotaBurst    = 2.0         // seconds of a tenant's share that may come at once...
