--- a/gateway.go
+++ b/gateway.go
@@ -586,7 +586,7 @@
 		guard := 1.0
 		if g.warmth(e) >= 1 {
 			fill := (e.threads + e.count[len(g.order)]) / e.kind.cores
-			guard = caution * math.Max(1, fill/(1+e.mix(q.c.index, e.count)))
+guard = caution * math.Pow(math.Max(1, fill/(1+e.mix(q.c.index, e.count))), g.hidden(e))
 		}
 		if est*margin*guard > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
 			continue
