--- a/gateway.go
+++ b/gateway.go
@@ -163,7 +163,6 @@
 	g.crowd *= kept(newsHalfLife)
 	for _, k := range g.kinds { // each alone, so that their order does not matter
 		k.crowd, k.granted = k.crowd*kept(crowdHalfLife), k.granted*kept(crowdHalfLife)
-		k.slow *= kept(slowHalfLife)
 	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
 	fresh := newsHalfLife
@@ -191,7 +190,7 @@
 				seen := math.Log(a.late * a.est / a.base)
 				e.slow += slowGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-g.slowness(e))
 				if g.now-g.reportedAt > newsHalfLife { // reports show a crowd; what is overdue may be lost
-					g.fleetSeen(e.kind, seen-e.slow)
+					g.fleetSeen(seen - e.slow)
 				}
 				e.latency += latencyGain * math.Max(0, math.Min(seen, 2*math.Log(robustRatio))-e.latency)
 				a.late *= lateRatio
@@ -261,18 +260,15 @@
 // hidden is how much of an engine our queries leave in the dark: near 1 where our part of its cores is small.
 func (g *Gateway) hidden(e *engine) float64 { return math.Pow(1+e.kind.cores/g.gateways, -2) }
 
-// slowness is the logarithm by which an engine, and as far as that is hidden its kind, is slower than Est.
-func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*e.kind.slow }
+// slowness is the logarithm by which an engine, and as far as that is hidden the fleet, is slower than Est.
+func (g *Gateway) slowness(e *engine) float64 { return e.slow + g.hidden(e)*g.fleet }
 
 // clip limits an error, in logarithms, to what one outcome may count for.
 func clip(miss float64) float64 { return min(max(miss, -math.Log(robustRatio)), math.Log(robustRatio)) }
 
-// fleetSeen takes in what an attempt tells of the slowness of its kind and of the fleet: when it ends in good
-// time, else each time it becomes overdue.
-func (g *Gateway) fleetSeen(k *kind, ratio float64) {
-	g.fleet += fleetGain * clip(ratio-g.fleet)
-	k.slow += fleetGain * clip(ratio-k.slow)
-}
+// fleetSeen takes in what an attempt tells of the fleet's slowness: when it ends in good time, else each time
+// it becomes overdue.
+func (g *Gateway) fleetSeen(ratio float64) { g.fleet += fleetGain * clip(ratio-g.fleet) }
 
 // Mix model.
 
@@ -334,9 +330,9 @@
 		c.seen += light
 		c.scale *= math.Exp(light * math.Max(baseGain, 1/(c.seen+2)) * miss)
 	}
-	e.slow += slowGain * (clip(math.Log(seen/want)-g.hidden(e)*e.kind.slow) - e.slow)
+	e.slow += slowGain * (clip(math.Log(seen/want)-g.hidden(e)*g.fleet) - e.slow)
 	if a.late == lateRatio {
-		g.fleetSeen(e.kind, math.Log(seen/want)-e.slow)
+		g.fleetSeen(math.Log(seen/want) - e.slow)
 	}
 	g.adapt(e, c, min(max(math.Log(seen), -math.Log(robustRatio)), 2*math.Log(robustRatio)), took)
 }
@@ -454,17 +450,15 @@
 	if g.now-g.toldAt < newsHalfLife || len(values) != len(g.cfg.ReportFields) {
 		return
 	}
-	threads, counted := -1.0, false
+	threads := -1.0
 	for i, name := range g.cfg.ReportFields {
 		switch v := values[i]; {
 		case math.IsNaN(v) || v < 0:
 		case name == "concurrent": // queries, of which ours show how many threads each has
-			threads, counted = math.Max(0, v-e.queries())*g.threadsEach(e.kind), true
+			threads = math.Max(0, v-e.queries()) * g.threadsEach(e.kind)
 		case name == "x0": // share of its memory that is granted
 			e.granted = math.Min(v, reportMost)
 			e.kind.granted += reportGain * (e.granted - e.kind.granted)
-		case name == "load_share" && !counted:
-			threads = math.Max(0, v*e.kind.cores-e.threads)
 		}
 	}
 	if threads < 0 {
@@ -472,9 +466,7 @@
 	}
 	threads = math.Min(threads, reportMost*e.kind.cores)
 	e.kind.crowd += reportGain * (threads/e.kind.cores - e.kind.crowd)
-	if counted { // use of cores ends at one and shows no crowd
-		g.crowd, g.reportedAt = g.meanCrowd(), g.now
-	}
+	g.crowd, g.reportedAt = g.meanCrowd(), g.now
 	g.accrue(e)
 	e.count[len(g.order)], e.toldAt = threads*g.hidden(e), g.now
 }
@@ -529,7 +521,7 @@
 // nothing of itself, and one that fills up looks as free as it was when last heard of.
 func (g *Gateway) scout(q *query) {
 	asked, short := 0, g.base(q)*q.c.threads < tellLeast
-	if !g.cfg.MayProbe || len(g.cfg.ReportFields) == 0 || g.now-g.toldAt < newsHalfLife || short {
+	if !g.cfg.MayProbe || !slices.Contains(g.cfg.ReportFields, "concurrent") || g.now-g.toldAt < newsHalfLife || short {
 		return
 	}
 	for _, i := range g.random.Perm(len(g.list)) {
@@ -586,7 +578,7 @@
 		guard := 1.0
 		if g.warmth(e) >= 1 {
 			fill := (e.threads + e.count[len(g.order)]) / e.kind.cores
-guard = caution * math.Pow(math.Max(1, fill/(1+e.mix(q.c.index, e.count))), g.hidden(e))
+			guard = caution * math.Pow(math.Max(1, fill/(1+e.mix(q.c.index, e.count))), g.hidden(e))
 		}
 		if est*margin*guard > left && !(trial && (left > 0 || q.c.LateValue > 0)) {
 			continue
--- a/state.go
+++ b/state.go
@@ -24,7 +24,6 @@
 
 type kind struct {
 	cores, memory  float64     // memory in MB
-	slow           float64     // log of its slowness
 	crowd, granted float64     // threads a core, and memory granted over memory, as told or reported
 	weights        [][]float64 // per class: time a running query of each class adds, over base, per core
 }
