--- a/gateway.go
+++ b/gateway.go
@@ -66,12 +66,12 @@
 
 	// What engines report.
 	reportGain     = 0.2                    // gain of a kind's crowding, fed by every report
-	scouts         = 3                      // engines probed before a long query is placed
+	scouts         = 3                      // engines probed before a long query is placed...
+	scoutWait      = 25 * time.Millisecond  // ...which waits so long for their reports
 	reportHalfLife = 500 * time.Millisecond // of a report, towards what the kind reports on average
 	pagePower      = 2.5                    // at twice its memory a paging engine is some six times slower
-	scoutWait      = 25 * time.Millisecond
-	crowdHalfLife  = 10 * time.Second // of a kind's crowding while nothing is reported
-	reportMost     = 16.0             // a report counts as at most so many threads a core
+	crowdHalfLife  = 10 * time.Second       // of a kind's crowding while nothing is reported
+	reportMost     = 16.0                   // a report counts as at most so many threads a core
 
 	// Health.
 	failGain     = 0.2  // gain of an engine's share of failed attempts
@@ -520,10 +520,11 @@
 // full they are; the query waits for the reports. Danger: a jammed engine answers no query, so it reports
 // nothing of itself, and one that fills up looks as free as it was when last heard of.
 func (g *Gateway) scout(q *query) {
-	asked, short := 0, g.base(q)*q.c.threads < tellLeast
-	if !g.cfg.MayProbe || !slices.Contains(g.cfg.ReportFields, "concurrent") || g.now-g.toldAt < newsHalfLife || short {
+	reports := g.cfg.MayProbe && slices.Contains(g.cfg.ReportFields, "concurrent")
+	if !reports || g.now-g.toldAt < newsHalfLife || g.base(q)*q.c.threads < tellLeast {
 		return
 	}
+	asked := 0
 	for _, i := range g.random.Perm(len(g.list)) {
 		e := g.list[i]
 		if asked < scouts && g.mayUse(q, e) && !e.sick && e.kind.cores/g.gateways < q.c.threads {
