--- a/types.go
+++ b/types.go
@@ -111,7 +111,7 @@
 	MayProbe      bool
 	MayTell       bool
 	MayComeBack   bool     // refusals may carry a come-back time
-	ReportFields  []string // names of the values in a load report; concurrent, load_share and x0 are used
+	ReportFields  []string // names of the values in a load report; concurrent and x0 are used
 	TakesGrants   bool
 	TakesPriority bool
 	MaxGrantShare float64
