An engine that changes its kind under its address is measured anew

A list may name another machine under a known address, with no newer start; its cores, and with them the cold budget, stayed the old one's. Test fails without it.

--- a/events.go
+++ b/events.go
@@ -69,8 +69,8 @@
 		e := g.engines[info.ID]
 		if e == nil {
 			e = g.enlist(info)
-		} else if info.Started > e.Started {
-			g.reset(e, info) // its process is new: nothing learnt of the old one holds
+		} else if info.Started > e.Started || info.Kind != e.Kind {
+			g.reset(e, info) // its process or machine is new: nothing learnt of the old one holds
 		}
 		e.EngineInfo = *info
 		e.known = info.State == EngineOn
--- a/reports_test.go
+++ b/reports_test.go
@@ -316,3 +316,17 @@
 		t.Errorf("pressure %.2f: cores in full use read as calm", b.g.pressure)
 	}
 }
+
+// TestEngineThatChangesKindIsMeasuredAnew: an address may come back as another machine, with no or an older start.
+func TestEngineThatChangesKindIsMeasuredAnew(t *testing.T) {
+	big := EngineInfo{ID: "e1", Kind: "big", Zone: "b", Started: time.Minute}
+	b := newBench(t, testConfig(), big)
+	old := std("e1")
+	old.Started = time.Second
+	b.at(ms, Event{Type: EngineList, Listing: ListChanges, Engines: []EngineInfo{old}})
+	if e := b.g.engines["e1"]; e.kind.cores != 8 {
+		t.Errorf("an engine of 8 cores is taken for one of %v", e.kind.cores)
+	}
+	want(t, b.ask(1, "bound", "")) // its kind is gone
+	want(t, b.ask(2, "short", ""), Send)
+}
