--- a/events.go
+++ b/events.go
@@ -19,7 +19,8 @@
 		queries: map[QueryID]*query{}, attempts: map[attemptKey]*attempt{},
 		keys: map[string]*orderKey{}, tenants: map[string]*bucket{}, reports: map[int]report{},
 		gateways: math.Max(1, float64(cfg.Gateways)),
-		margin:   1, toldAt: -newsHalfLife, reportedAt: -newsHalfLife, random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
+		margin:   1, toldAt: -newsHalfLife, reportedAt: -newsHalfLife,
+		random: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Ordinal)))}
 	for i, c := range cfg.Classes {
 		k := &class{Class: c, index: i, threads: told(cfg.ClassThreads, i, 1), scale: 1, grant: grantStart}
 		k.loads = told(cfg.ClassLoads, i, false)
@@ -150,11 +151,14 @@
 
 // meanCrowd is the kinds' crowding over all engines on the list, by their cores.
 func (g *Gateway) meanCrowd() float64 {
-	sum, cores := 0.0, 1e-9
+	if g.cores == 0 {
+		return 0
+	}
+	sum := 0.0
 	for _, e := range g.list {
 		if e.known {
-			sum, cores = sum+e.kind.crowd*e.kind.cores, cores+e.kind.cores
+			sum += e.kind.crowd * e.kind.cores
 		}
 	}
-	return sum / cores
+	return sum / g.cores
 }
--- a/gateway.go
+++ b/gateway.go
@@ -161,8 +161,9 @@
 	g.talk()
 	g.scratch = g.scratch[:0]
 	g.crowd *= kept(newsHalfLife)
-	for _, k := range g.kinds { // each alone, so that their order does not matter
-		k.crowd, k.granted = k.crowd*kept(crowdHalfLife), k.granted*kept(crowdHalfLife)
+	keepCrowd := kept(crowdHalfLife)
+	for _, k := range g.kinds { // in any order
+		k.crowd, k.granted = k.crowd*keepCrowd, k.granted*keepCrowd
 	}
 	keepSlow, keepRecent, keepNews := kept(slowHalfLife), kept(tellEvery), kept(newsHalfLife)
 	fresh := newsHalfLife
@@ -202,8 +203,7 @@
 				}
 			}
 			if g.overtime(a, age) {
-				a.q.kills++
-				g.cancel(a)
+				g.callOff(a)
 			}
 			if age > silentRatio*a.est && e.heard < a.at+g.cfg.ProgressEvery && g.now-e.heard > silentLeast {
 				silent++
@@ -880,13 +880,23 @@
 	}
 }
 
+// mayCallOff reports whether an attempt may be called off so that its query is sent again.
+func (g *Gateway) mayCallOff(a *attempt) bool {
+	return !a.q.done && !a.cancelled && a.q.kills < killsMost && g.mayTryAgain(a.q)
+}
+
+func (g *Gateway) callOff(a *attempt) {
+	a.q.kills++
+	g.cancel(a)
+}
+
 // overtime reports whether an attempt is to be called off and its query sent again: it is far past what Est
 // says now, and no note shows that it runs. Its answer was lost, or it has a bad plan; either way a fresh
 // attempt should end first, as long as one fits. Danger: where engines are only slow this doubles the work.
 func (g *Gateway) overtime(a *attempt, age float64) bool {
 	q := a.q
 	switch {
-	case q.done || a.cancelled || q.kills >= killsMost || !g.mayTryAgain(q) || q.c.Effect == Unsafe:
+	case !g.mayCallOff(a) || q.c.Effect == Unsafe:
 		return false
 	case q.c.Effect == Keyed && g.now-a.at > q.c.Window-g.cfg.Rules.OrderRest-tickEvery:
 		return false
@@ -912,10 +922,9 @@
 		q := a.q
 		ran := (g.now - a.at).Seconds()
 		total := ran / math.Max(ev.Value, 1e-3)
-		lawful := !q.done && !a.cancelled && q.c.Effect == Safe && q.kills < killsMost && g.mayTryAgain(q)
-		if lawful && total > killRatio*q.spread*a.est && total-ran > killGain*q.spread*a.est {
-			q.kills++
-			g.cancel(a)
+		if g.mayCallOff(a) && q.c.Effect == Safe && total > killRatio*q.spread*a.est &&
+			total-ran > killGain*q.spread*a.est {
+			g.callOff(a)
 		}
 	}
 }
--- a/reports_test.go
+++ b/reports_test.go
@@ -167,7 +167,6 @@
 func TestWhatBefallsAllIsNoLoad(t *testing.T) {
 	b := newBench(t, fleetConfig(), fleet(4)...)
 	for _, e := range b.g.list {
-		b.g.gather(1, []peerEntry{{e.tag, 0, 0, 0}})
 		e.goodSum, e.badSum = 70, 30
 	}
 	b.g.reports[1] = reportOf(b, 8)
