Serve on the platform's protocol: Thrift clients, HTTP compute nodes, a notice board

Change: cresspass platform, with packages platform (shell), thrift, nodehttp and board (no I/O in the last three); settings go through the simulator's reader; run and node lines.

--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,221 @@
+// Package board follows a notice board: server-sent events, each a numbered change of the list of compute nodes. It
+// does no I/O: bytes go into a Parser, whole events into a Follower, and lists for the module come out.
+package board
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+
+	"cresspass"
+)
+
+// Most is the longest event that is kept, in bytes.
+const Most = 1 << 20
+
+// ErrTooLong tells of an event that passes Most.
+var ErrTooLong = errors.New("board: an event that is too long")
+
+// Event is a whole event. HasID is false where none stood in it.
+type Event struct {
+	ID    uint64
+	HasID bool
+	Data  []byte
+}
+
+// Parser cuts a stream of server-sent events (WHATWG HTML, 9.2.6) into events. An event that the stream breaks off
+// in is never given out.
+type Parser struct {
+	line  []byte
+	event Event
+	lines int
+}
+
+// Feed takes bytes and calls got for each whole event; the event is valid until got returns.
+func (p *Parser) Feed(b []byte, got func(Event)) error {
+	for len(b) > 0 {
+		i := bytes.IndexByte(b, '\n')
+		if i < 0 {
+			p.line = append(p.line, b...)
+			if len(p.line) > Most {
+				return ErrTooLong
+			}
+			return nil
+		}
+		p.line = append(p.line, b[:i]...)
+		b = b[i+1:]
+		if err := p.whole(bytes.TrimSuffix(p.line, []byte("\r")), got); err != nil {
+			return err
+		}
+		p.line = p.line[:0]
+	}
+	return nil
+}
+
+func (p *Parser) whole(line []byte, got func(Event)) error {
+	if len(line) == 0 {
+		if p.lines > 0 {
+			got(p.event)
+		}
+		p.event, p.lines = Event{Data: p.event.Data[:0]}, 0
+		return nil
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		if n, err := strconv.ParseUint(string(value), 10, 63); err == nil {
+			p.event.ID, p.event.HasID = n, true
+		}
+	case "data":
+		if p.lines > 0 {
+			p.event.Data = append(p.event.Data, '\n')
+		}
+		p.event.Data = append(p.event.Data, value...)
+		p.lines++
+		if len(p.event.Data) > Most {
+			return ErrTooLong
+		}
+	}
+	return nil
+}
+
+// Notice is the data of an event.
+type Notice struct {
+	Rev  uint64 `json:"rev"`
+	Pool *Pool  `json:"pool"`
+}
+
+// Pool is a list of compute nodes, or what changed in it.
+type Pool struct {
+	Version uint64   `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []Server `json:"servers"`
+}
+
+// Server is a compute node on the notice board.
+type Server struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"` // Unix milliseconds; 0: long ago
+}
+
+var states = map[string]cresspass.EngineState{"up": cresspass.EngineOn, "draining": cresspass.EngineDraining,
+	"removed": cresspass.EngineGone}
+
+// Verdict says what to do after an event.
+type Verdict int
+
+// The verdicts.
+const (
+	Taken Verdict = iota
+	Known         // it was told before
+	Gap           // events between are missing: ask again from Last
+)
+
+// Follower holds where a dispatcher stands on its notice board and what addresses its compute nodes have.
+type Follower struct {
+	last  uint64
+	addrs map[cresspass.EngineID]string
+	gone  []cresspass.EngineID // since the last call of Gone
+	at    func(unixMS int64) time.Duration
+}
+
+// NewFollower returns a Follower; at turns a Unix millisecond into the module's time.
+func NewFollower(at func(unixMS int64) time.Duration) *Follower {
+	return &Follower{addrs: map[cresspass.EngineID]string{}, at: at}
+}
+
+// Last is the number of the last event taken.
+func (f *Follower) Last() uint64 { return f.last }
+
+// Addr returns the address of a compute node, as it was last told; "" where none was.
+func (f *Follower) Addr(id cresspass.EngineID) string { return f.addrs[id] }
+
+// Gone returns the compute nodes that left the list since the last call. Their addresses are forgotten.
+func (f *Follower) Gone() []cresspass.EngineID {
+	gone := f.gone
+	f.gone = nil
+	return gone
+}
+
+// Take takes an event. The list is to be handed to the module where the verdict is Taken. What can't be read is an
+// error and changes nothing.
+func (f *Follower) Take(ev Event) (cresspass.Event, Verdict, error) {
+	var n Notice
+	if err := json.Unmarshal(ev.Data, &n); err != nil {
+		return cresspass.Event{}, Gap, fmt.Errorf("board: event %d: %w", ev.ID, err)
+	}
+	if ev.HasID && ev.ID != n.Rev {
+		return cresspass.Event{}, Gap, fmt.Errorf("board: event %d says that it is %d", ev.ID, n.Rev)
+	}
+	return f.Notice(n)
+}
+
+// Notice takes what an event held.
+func (f *Follower) Notice(n Notice) (out cresspass.Event, v Verdict, err error) {
+	switch {
+	case n.Rev <= f.last:
+		return out, Known, nil
+	case n.Rev > f.last+1 && f.last > 0 && (n.Pool == nil || !n.Pool.Full):
+		return out, Gap, nil
+	case n.Pool == nil:
+		f.last = n.Rev
+		return cresspass.Event{Type: cresspass.EngineList}, Taken, nil
+	}
+	out = cresspass.Event{Type: cresspass.EngineList, Listing: cresspass.ListChanges}
+	if n.Pool.Full {
+		out.Listing = cresspass.ListFull
+	}
+	for i := range n.Pool.Servers {
+		s := &n.Pool.Servers[i]
+		state, ok := states[s.State]
+		if s.ID == "" || !ok || state == cresspass.EngineOn && s.Addr == "" || math.IsNaN(s.Weight) || s.Weight < 0 {
+			return out, Gap, fmt.Errorf("board: notice %d: compute node %q at %q is %q", n.Rev, s.ID, s.Addr, s.State)
+		}
+		e := cresspass.EngineInfo{ID: cresspass.EngineID(s.ID), State: state, Kind: s.Kind, Zone: s.Zone, Cell: s.Cell,
+			Size: s.Weight}
+		if s.Started > 0 {
+			e.Started = f.at(s.Started)
+		}
+		out.Engines = append(out.Engines, e)
+	}
+	f.last = n.Rev
+	if n.Pool.Full {
+		old := f.addrs
+		f.addrs = make(map[cresspass.EngineID]string, len(n.Pool.Servers))
+		for id := range old {
+			if !lists(n.Pool.Servers, id) {
+				f.gone = append(f.gone, id)
+			}
+		}
+	}
+	for i := range n.Pool.Servers {
+		s := &n.Pool.Servers[i]
+		if id := cresspass.EngineID(s.ID); s.State == "removed" {
+			delete(f.addrs, id)
+			f.gone = append(f.gone, id)
+		} else if s.Addr != "" {
+			f.addrs[id] = s.Addr
+		}
+	}
+	return out, Taken, nil
+}
+
+func lists(servers []Server, id cresspass.EngineID) bool {
+	for i := range servers {
+		if servers[i].ID == string(id) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/platform/front.go
@@ -0,0 +1,369 @@
+package platform
+
+import (
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"cresspass"
+	"cresspass/internal/thrift"
+)
+
+const (
+	frameMost   = 128 << 10              // bytes of a message
+	speakWithin = 2 * time.Second        // from connecting to the first whole message
+	frameWithin = 2 * time.Second        // from a message's first byte to its last
+	idleMost    = 15 * time.Second       // between messages; clients close after 4 s
+	writeWithin = 2 * time.Second        // until a client takes what was written
+	openMost    = 32                     // requests open on a connection (PROTOCOL)
+	outMost     = 4 << 20                // bytes that wait for a client that doesn't read
+	readStep    = 8 << 10                // a message grows by this, so that a told length alone costs nothing
+	acceptPause = 10 * time.Millisecond  // after an accept that failed
+	lingerFor   = 200 * time.Millisecond // for a last answer to be taken before a connection is closed
+)
+
+// ask is a client's request.
+type ask struct {
+	terms
+	id    cresspass.QueryID
+	seq   int32
+	c     *client
+	until time.Time
+}
+
+// client is a connection of a client.
+type client struct {
+	f   *front
+	net net.Conn
+
+	mu       sync.Mutex
+	open     map[int32]*ask
+	out      []byte
+	flushing bool
+	ending   bool // closed once out is written
+	spoke    bool // a whole message came
+	last     time.Time
+}
+
+// front takes clients' connections.
+type front struct {
+	s    *service
+	ln   net.Listener
+	most int // connections
+
+	mu    sync.Mutex
+	conns map[*client]struct{}
+}
+
+func (f *front) run() {
+	for {
+		c, err := f.ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // no descriptor left, or the client has gone again
+			f.crowded()
+			time.Sleep(acceptPause)
+			continue
+		}
+		cl := &client{f: f, net: c, open: map[int32]*ask{}, last: time.Now()}
+		f.mu.Lock()
+		full := len(f.conns) >= f.most
+		f.mu.Unlock()
+		if full && !f.crowded() {
+			f.s.shut.Add(1)
+			c.Close()
+			continue
+		}
+		f.mu.Lock()
+		f.conns[cl] = struct{}{}
+		f.mu.Unlock()
+		go cl.read()
+	}
+}
+
+// crowded closes a connection to make room: of those without an open request, one that never said anything before
+// others, and then the one that was silent for longest.
+func (f *front) crowded() bool {
+	f.mu.Lock()
+	var victim *client
+	var mute bool
+	var last time.Time
+	for c := range f.conns {
+		c.mu.Lock()
+		if len(c.open) == 0 && len(c.out) == 0 && !c.ending && (victim == nil || !c.spoke && !mute ||
+			c.spoke != mute && c.last.Before(last)) {
+			victim, mute, last = c, !c.spoke, c.last
+		}
+		c.mu.Unlock()
+	}
+	if victim != nil {
+		delete(f.conns, victim)
+	}
+	f.mu.Unlock()
+	if victim == nil {
+		return false
+	}
+	f.s.shut.Add(1)
+	victim.net.Close()
+	return true
+}
+
+// closeIdle closes the connections on which nothing is open.
+func (f *front) closeIdle() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.mu.Lock()
+		if len(c.open) == 0 && len(c.out) == 0 {
+			c.net.Close()
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (f *front) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
+// read takes the client's messages until its connection ends.
+func (c *client) read() {
+	defer c.over()
+	var head [thrift.FrameHeader]byte
+	var frame []byte
+	c.net.SetReadDeadline(time.Now().Add(speakWithin))
+	for first := true; ; first = false {
+		if _, err := io.ReadFull(c.net, head[:1]); err != nil {
+			return
+		}
+		if !first {
+			c.net.SetReadDeadline(time.Now().Add(frameWithin))
+		}
+		if _, err := io.ReadFull(c.net, head[1:]); err != nil {
+			return
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		if n == 0 || n > frameMost {
+			c.garbage()
+			return
+		}
+		if cap(frame) > 2*readStep && n <= readStep {
+			frame = nil
+		}
+		frame = frame[:0]
+		for left := int(n); left > 0; {
+			step := min(left, readStep)
+			at := len(frame)
+			frame = append(frame, make([]byte, step)...)
+			if _, err := io.ReadFull(c.net, frame[at:]); err != nil {
+				return
+			}
+			left -= step
+		}
+		if !c.take(frame) {
+			c.garbage()
+			return
+		}
+		c.net.SetReadDeadline(time.Now().Add(idleMost))
+	}
+}
+
+// take handles a message. It returns false where the connection can't be read any further.
+func (c *client) take(frame []byte) bool {
+	q, err := thrift.ParseRequest(frame)
+	c.mu.Lock()
+	c.spoke, c.last = true, time.Now()
+	ending := c.ending
+	c.mu.Unlock()
+	switch {
+	case err != nil && q.Name == "", ending:
+		return false
+	case err != nil:
+		c.send(thrift.AppendException(nil, q.Name, q.Seq, 7, err.Error()))
+		return false
+	case q.Type != thrift.Call && q.Type != thrift.Oneway:
+		return false
+	}
+	switch q.Name {
+	case "dispatch":
+		c.dispatch(&q)
+	case "cancelRequest":
+		c.takeBack(q.Number)
+	case "alive":
+		c.send(thrift.AppendAnswer(nil, q.Name, q.Seq, c.f.s.ready()))
+	default:
+		c.send(thrift.AppendException(nil, q.Name, q.Seq, 1, "unknown method"))
+	}
+	return true
+}
+
+// dispatch takes a request, or says why it can't be taken.
+func (c *client) dispatch(r *thrift.Request) {
+	s := c.f.s
+	ev, t, err := s.reader.read(r)
+	if err != nil {
+		s.unread.Add(1)
+		c.send(thrift.AppendRaised(nil, "dispatch", r.Seq, thrift.Fault, [2]string{"reason", err.Error()}))
+		return
+	}
+	q := &ask{terms: t, seq: r.Seq, c: c, until: time.Now().Add(ev.TimeLeft)}
+	q.body = append([]byte(nil), t.body...)
+	c.mu.Lock()
+	switch {
+	case c.open[r.Seq] != nil:
+		err = errors.New("this number is open already")
+	case len(c.open) >= openMost:
+		err = errors.New("too many requests open on this connection")
+	default:
+		c.open[r.Seq] = q
+	}
+	c.mu.Unlock()
+	if err == nil && !s.admit(q) {
+		c.mu.Lock()
+		delete(c.open, r.Seq)
+		c.mu.Unlock()
+		err = errors.New("txn is open already")
+	}
+	if err != nil {
+		s.unread.Add(1)
+		c.send(thrift.AppendRaised(nil, "dispatch", r.Seq, thrift.Fault, [2]string{"reason", err.Error()}))
+		return
+	}
+	ev.Query = q.id
+	s.loop.Post(ev)
+}
+
+// claim takes the right to answer a request: it has one answer at most.
+func (c *client) claim(q *ask) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[q.seq] != q {
+		return false
+	}
+	delete(c.open, q.seq)
+	return true
+}
+
+// takeBack ends a request for which its client waits no longer.
+func (c *client) takeBack(seq int32) {
+	c.mu.Lock()
+	q := c.open[seq]
+	delete(c.open, seq)
+	c.mu.Unlock()
+	if q != nil {
+		c.f.s.gone(q)
+	}
+}
+
+// send writes without waiting for the client.
+func (c *client) send(b []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.out)+len(b) > outMost {
+		c.ending = true
+		c.net.Close()
+		return
+	}
+	c.out = append(c.out, b...)
+	c.last = time.Now()
+	if !c.flushing {
+		c.flushing = true
+		go c.flush()
+	}
+}
+
+func (c *client) flush() {
+	for {
+		c.mu.Lock()
+		b := c.out
+		c.out = nil
+		if len(b) == 0 {
+			c.flushing = false
+			ending := c.ending
+			c.mu.Unlock()
+			if ending {
+				c.net.Close()
+			}
+			return
+		}
+		c.mu.Unlock()
+		c.net.SetWriteDeadline(time.Now().Add(writeWithin))
+		if _, err := c.net.Write(b); err != nil {
+			c.net.Close()
+		}
+	}
+}
+
+// garbage ends a connection whose bytes can't be read: what is open on it is answered first.
+func (c *client) garbage() {
+	c.f.s.unread.Add(1)
+	c.mu.Lock()
+	var open []*ask
+	for seq, q := range c.open {
+		open = append(open, q)
+		delete(c.open, seq)
+	}
+	c.mu.Unlock()
+	var b []byte
+	for _, q := range open {
+		b = thrift.AppendRaised(b, "dispatch", q.seq, thrift.Fault, [2]string{"reason", "the connection can't be read"})
+		c.f.s.gone(q)
+	}
+	if len(b) > 0 {
+		c.send(b)
+	}
+	time.Sleep(acceptPause) // for the last answer to leave
+}
+
+// over ends what is open on a connection that ended.
+func (c *client) over() {
+	c.f.mu.Lock()
+	delete(c.f.conns, c)
+	c.f.mu.Unlock()
+	c.mu.Lock()
+	c.ending = true
+	var open []*ask
+	for seq, q := range c.open {
+		open = append(open, q)
+		delete(c.open, seq)
+	}
+	flushing := c.flushing
+	c.mu.Unlock()
+	if !flushing {
+		c.net.Close()
+	} else {
+		time.AfterFunc(lingerFor, func() { c.net.Close() })
+	}
+	for _, q := range open {
+		c.f.s.gone(q)
+	}
+}
+
+// serve gives a request its result. It returns false where the request has ended already.
+func (q *ask) serve(pages [][]byte) bool {
+	if !q.c.claim(q) {
+		return false
+	}
+	q.c.send(thrift.AppendAnswer(nil, "dispatch", q.seq, true, pages...))
+	q.c.f.s.closed(q)
+	return true
+}
+
+// raise ends a request without a result; later is the come-back time of a refusal, 0: none.
+func (q *ask) raise(which uint16, later time.Duration) {
+	if !q.c.claim(q) {
+		return
+	}
+	var fields [][2]string
+	if later > 0 {
+		fields = append(fields, [2]string{"later", strconv.FormatInt(later.Milliseconds(), 10)})
+	}
+	q.c.send(thrift.AppendRaised(nil, "dispatch", q.seq, which, fields...))
+	q.c.f.s.closed(q)
+}
--- /dev/null
+++ b/internal/platform/service.go
@@ -0,0 +1,317 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cresspass"
+	"cresspass/internal/board"
+	"cresspass/internal/dispatch"
+	"cresspass/internal/thrift"
+)
+
+const (
+	heapShare    = 0.55                   // of the memory limit, from which the collector works harder
+	clientShare  = 0.42                   // of the descriptors, for clients, who hold a third of them at most
+	spare        = 24                     // descriptors for all else
+	newAfterTerm = 650 * time.Millisecond // in which connections and requests still come after SIGTERM
+	endSlack     = 500 * time.Millisecond // after the longest deadline, in which the last answers leave
+	lookEvery    = 10 * time.Second       // of the figures in the log
+	sweepEvery   = 500 * time.Millisecond
+)
+
+// service is a running dispatcher on the platform.
+type service struct {
+	cfg          *Config
+	path         string
+	log          *slog.Logger
+	clock        dispatch.Clock
+	loop         *dispatch.Loop
+	reader       reader
+	reportFields []string
+	pool         *pool
+	front        *front
+	watch        *watcher
+
+	mu       sync.Mutex
+	asks     map[cresspass.QueryID]*ask
+	tickets  map[string]*ask
+	attempts map[attemptKey]*attempt
+	lastID   cresspass.QueryID
+	leaving  bool
+
+	spoilt, broken, unread, shut atomic.Uint64
+	outcomes                     sync.Map // cresspass.Outcome to *atomic.Uint64
+}
+
+type attemptKey struct {
+	query  cresspass.QueryID
+	number int
+}
+
+// Run is a dispatcher on the platform, by the configuration in a file, until SIGTERM.
+func Run(path string, log *slog.Logger) error {
+	cfg, err := Load(path)
+	if err != nil {
+		return err
+	}
+	if cfg.Limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(cfg.Limits.MemoryMB * heapShare * (1 << 20)))
+	}
+	if cfg.Limits.Cores > 0 {
+		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
+	}
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	s, err := start(cfg, path, log)
+	if err != nil {
+		return err
+	}
+	return s.live(signals)
+}
+
+// start brings a dispatcher up. It serves from then on.
+func start(cfg *Config, path string, log *slog.Logger) (*service, error) {
+	s := &service{cfg: cfg, path: path, log: log, clock: dispatch.Monotonic(), reader: newReader(&cfg.Module),
+		reportFields: cfg.Module.ReportFields, asks: map[cresspass.QueryID]*ask{}, tickets: map[string]*ask{},
+		attempts: map[attemptKey]*attempt{}}
+	core, err := dispatch.NewCore(cfg.Module, s.clock())
+	if err != nil {
+		return nil, err
+	}
+	s.loop = dispatch.NewLoop(core, s.clock, s.do)
+	sockets := cfg.Limits.Sockets
+	if sockets <= 0 {
+		sockets = 1024
+	}
+	clients := int(clientShare * float64(sockets))
+	s.pool = newPool(sockets-clients-spare, cfg.ConnectTimeout, cfg.ConnIdle)
+	s.watch = newWatcher(s, cfg.Board)
+	for _, n := range cfg.Known.Notices {
+		ev, v, err := s.watch.follower.Notice(n)
+		if err != nil {
+			return nil, err
+		}
+		if v == board.Taken {
+			if ev.Listing == cresspass.ListFull {
+				ev.Listing = cresspass.ListCached
+			}
+			s.loop.Post(ev)
+		}
+	}
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	s.front = &front{s: s, ln: ln, most: clients, conns: map[*client]struct{}{}}
+	go s.loop.Run()
+	go s.watch.run()
+	go s.front.run()
+	return s, nil
+}
+
+// live waits for signals and for the end.
+func (s *service) live(signals <-chan os.Signal) error {
+	look, sweep := time.NewTicker(lookEvery), time.NewTicker(sweepEvery)
+	defer look.Stop()
+	defer sweep.Stop()
+	var lastCall, end <-chan time.Time
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				s.reload()
+				continue
+			}
+			if end != nil {
+				continue
+			}
+			s.log.Info("leaving", "signal", sig.String())
+			s.mu.Lock()
+			s.leaving = true
+			s.mu.Unlock()
+			longest := time.Duration(0)
+			for _, c := range s.cfg.Module.Classes {
+				longest = max(longest, c.Deadline)
+			}
+			lastCall, end = time.After(newAfterTerm), time.After(longest+endSlack)
+			sweep.Reset(sweepEvery / 10)
+		case <-lastCall:
+			s.front.ln.Close()
+			lastCall = nil
+		case <-sweep.C:
+			s.pool.sweep()
+			if end != nil && lastCall == nil {
+				s.front.closeIdle()
+				s.mu.Lock()
+				open := len(s.asks)
+				s.mu.Unlock()
+				if open == 0 && s.front.size() == 0 {
+					s.look()
+					return nil
+				}
+			}
+		case <-look.C:
+			s.look()
+		case <-end:
+			s.look()
+			return nil
+		}
+	}
+}
+
+// reload reads the configuration again. Danger: a configuration that can't be read must not end the dispatcher.
+func (s *service) reload() {
+	cfg, err := Load(s.path)
+	if err != nil {
+		s.log.Error("configuration is left as it was", "error", err)
+		return
+	}
+	s.log.Info("configuration read again", "board", cfg.Board)
+	s.watch.move(cfg.Board)
+}
+
+// look writes figures to the log.
+func (s *service) look() {
+	var st dispatch.Stats
+	s.loop.Ask(func(c *dispatch.Core) { st = c.Stats() })
+	s.pool.mu.Lock()
+	open, waiting, dials, reused, crowded := s.pool.open, len(s.pool.wait), s.pool.dials, s.pool.reused, s.pool.crowded
+	s.pool.mu.Unlock()
+	ends := map[string]uint64{}
+	s.outcomes.Range(func(k, v any) bool {
+		ends[strconv.Itoa(int(k.(cresspass.Outcome)))] = v.(*atomic.Uint64).Load()
+		return true
+	})
+	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(), "nodes", open,
+		"waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded, "spoilt", s.spoilt.Load(),
+		"broken", s.broken.Load(), "unread", s.unread.Load(), "shut", s.shut.Load(), "lag", s.loop.Lag(),
+		"board", s.watch.asked.Load())
+}
+
+func (s *service) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.leaving
+}
+
+// admit takes a request into the books, unless its id is open already.
+func (s *service) admit(q *ask) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.tickets[q.ticket] != nil {
+		return false
+	}
+	s.lastID++
+	q.id = s.lastID
+	s.asks[q.id], s.tickets[q.ticket] = q, q
+	return true
+}
+
+// closed takes a request that has its answer out of the books.
+func (s *service) closed(q *ask) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asks, q.id)
+	if s.tickets[q.ticket] == q {
+		delete(s.tickets, q.ticket)
+	}
+}
+
+// gone ends a request for which nobody waits.
+func (s *service) gone(q *ask) {
+	s.closed(q)
+	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.id, Outcome: cresspass.Cancelled})
+}
+
+func (s *service) count(o cresspass.Outcome) {
+	n, ok := s.outcomes.Load(o)
+	if !ok {
+		n, _ = s.outcomes.LoadOrStore(o, new(atomic.Uint64))
+	}
+	n.(*atomic.Uint64).Add(1)
+}
+
+func (s *service) forget(a *attempt) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.attempts, attemptKey{a.q.id, a.number})
+}
+
+// do carries out what the core puts out. It never waits.
+func (s *service) do(o *dispatch.Output) {
+	switch o.Type {
+	case dispatch.Start:
+		s.begin(o)
+	case dispatch.Stop:
+		s.mu.Lock()
+		a := s.attempts[attemptKey{o.Query, o.Attempt}]
+		s.mu.Unlock()
+		if a != nil {
+			a.stop(o.Outcome)
+		}
+	case dispatch.Refuse, dispatch.Fail:
+		s.mu.Lock()
+		q := s.asks[o.Query]
+		s.mu.Unlock()
+		if q == nil {
+			return
+		}
+		if o.Type == dispatch.Refuse {
+			q.raise(thrift.Shed, o.Wait)
+		} else {
+			q.raise(thrift.Fault, 0)
+		}
+	case dispatch.Probe:
+		if addr := s.watch.addr(o.Engine); addr != "" {
+			go s.probe(o.Engine, addr)
+		} else {
+			s.loop.Post(cresspass.Event{Type: cresspass.ProbeDone, Engine: o.Engine, Outcome: cresspass.ConnectFailed})
+		}
+	case dispatch.CloseIdle:
+		s.pool.closeIdle(o.Engine)
+	case dispatch.Log:
+		s.log.Info(o.Text)
+	}
+}
+
+// begin starts an attempt.
+func (s *service) begin(o *dispatch.Output) {
+	s.mu.Lock()
+	q := s.asks[o.Query]
+	s.mu.Unlock()
+	addr := s.watch.addr(o.Engine)
+	if q == nil || addr == "" { // its client has gone, or the compute node
+		outcome := cresspass.Moot
+		if q != nil {
+			outcome = cresspass.ConnectFailed
+		}
+		s.loop.Post(cresspass.Event{Type: cresspass.AttemptDone, Query: o.Query, Attempt: o.Attempt, Engine: o.Engine,
+			Outcome: outcome})
+		return
+	}
+	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.until, begun: time.Now()}
+	if o.MemoryMB > 0 {
+		a.grant = strconv.FormatInt(int64(math.Ceil(o.MemoryMB)), 10)
+	}
+	if o.Priority >= 0 {
+		a.rank = strconv.Itoa(o.Priority)
+	}
+	a.ctx, a.cancel = context.WithDeadline(context.Background(), q.until)
+	s.mu.Lock()
+	s.attempts[attemptKey{o.Query, o.Attempt}] = a
+	s.mu.Unlock()
+	go a.run()
+}
--- /dev/null
+++ b/internal/platform/watch.go
@@ -0,0 +1,166 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cresspass"
+	"cresspass/internal/board"
+)
+
+const (
+	quietMost  = 1700 * time.Millisecond // a comment comes each second: more silence than this is a stop
+	boardDial  = 500 * time.Millisecond
+	boardAgain = 50 * time.Millisecond // before the notice board is asked again, doubled each time
+	boardMost  = 400 * time.Millisecond
+)
+
+// watcher keeps asking the notice board and hands what it tells to the module.
+type watcher struct {
+	s     *service
+	asked atomic.Uint64
+
+	mu       sync.Mutex
+	follower *board.Follower
+	at       string
+	cancel   context.CancelFunc // of the call under way
+}
+
+func newWatcher(s *service, at string) *watcher {
+	return &watcher{s: s, at: at, follower: board.NewFollower(func(ms int64) time.Duration {
+		return max(s.clock()+time.Until(time.UnixMilli(ms)), 1)
+	})}
+}
+
+func (w *watcher) addr(engine cresspass.EngineID) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.follower.Addr(engine)
+}
+
+// move has the notice board asked at another address, at once.
+func (w *watcher) move(at string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.at = at
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// run asks until the process ends.
+func (w *watcher) run() {
+	wait := boardAgain
+	for {
+		ctx, cancel := context.WithCancel(context.Background())
+		w.mu.Lock()
+		at, last := w.at, w.follower.Last()
+		w.cancel = cancel
+		w.mu.Unlock()
+		w.asked.Add(1)
+		heard, err := w.ask(ctx, at, last)
+		moved := ctx.Err() != nil
+		cancel()
+		if heard || moved {
+			wait = boardAgain
+		}
+		if err != nil && !moved {
+			w.s.log.Warn("notice board", "address", at, "from", last, "error", err)
+		}
+		if !moved {
+			time.Sleep(wait)
+			wait = min(wait*2, boardMost)
+		}
+	}
+}
+
+var errQuiet = errors.New("nothing came for too long")
+
+// ask reads one answer of the notice board until it ends. heard: something came.
+func (w *watcher) ask(ctx context.Context, at string, last uint64) (heard bool, err error) {
+	d := net.Dialer{Timeout: boardDial}
+	c, err := d.DialContext(ctx, "tcp", at)
+	if err != nil {
+		return false, err
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	alive := func() { c.SetDeadline(time.Now().Add(quietMost)) }
+	alive()
+	if ctx.Err() != nil {
+		return false, ctx.Err()
+	}
+	r, err := http.NewRequest("GET", "http://"+at+"/board/poll", nil)
+	if err != nil {
+		return false, err
+	}
+	r.Header.Set("Accept", "text/event-stream")
+	r.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
+	if err := r.Write(c); err != nil {
+		return false, err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(c, 1<<40)), r)
+	if err != nil {
+		return false, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("answered %s", resp.Status)
+	}
+	var p board.Parser
+	b := make([]byte, 8<<10)
+	for {
+		n, err := resp.Body.Read(b)
+		if ctx.Err() != nil {
+			return true, ctx.Err()
+		}
+		alive()
+		var bad error
+		if e := p.Feed(b[:n], func(ev board.Event) {
+			if bad == nil {
+				bad = w.take(ev)
+			}
+		}); bad == nil {
+			bad = e
+		}
+		if bad != nil {
+			return true, bad
+		}
+		if err != nil {
+			var timeout net.Error
+			if errors.As(err, &timeout) && timeout.Timeout() {
+				err = errQuiet
+			}
+			return true, err
+		}
+	}
+}
+
+// take hands an event on.
+func (w *watcher) take(ev board.Event) error {
+	w.mu.Lock()
+	list, v, err := w.follower.Take(ev)
+	gone := w.follower.Gone()
+	// Danger: posted under the lock, or lists of two calls could cross.
+	if err == nil && v == board.Taken {
+		w.s.loop.Post(list)
+	}
+	w.mu.Unlock()
+	for _, id := range gone {
+		w.s.pool.closeIdle(id)
+	}
+	if err == nil && v == board.Gap {
+		err = errors.New("events are missing")
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sqlscan/group.go
@@ -0,0 +1,62 @@
+package sqlscan
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Group returns the number of the group of tables that a text reads or writes: what stands behind the last
+// underscore in the name of a schema (17 in sales_17.orders), outside comments and quoted texts; 0 where there is
+// none. The schema staging is no group. A name after FROM, JOIN, INTO, UPDATE, TABLE or COPY goes before any other.
+func Group(text string) int {
+	s := scanner{text: text}
+	first := 0
+	name, before := "", "" // the name before this token, and the word before that name
+	last := ""
+	for {
+		kind, a, b := s.next()
+		switch {
+		case kind == tokenEnd:
+			return first
+		case kind == tokenComment:
+			continue
+		case kind == tokenWord:
+			name, before, last = text[a:b], last, strings.ToUpper(text[a:b])
+		case text[a] == '"' && b-a > 2:
+			name, before, last = text[a+1:b-1], last, ""
+		case text[a] == '.' && name != "":
+			if n := groupOf(name); n > 0 {
+				switch before {
+				case "FROM", "JOIN", "INTO", "UPDATE", "TABLE", "COPY", "ONLY":
+					return n
+				}
+				if first == 0 {
+					first = n
+				}
+			}
+			name = ""
+		default:
+			name = ""
+			if text[a] != ',' && text[a] != '(' {
+				last = ""
+			}
+		}
+	}
+}
+
+// groupOf is the number behind a schema's underscore; 0: none.
+func groupOf(schema string) int {
+	base, digits, ok := cutLast(schema, "_")
+	n, err := strconv.Atoi(digits)
+	if !ok || err != nil || n < 0 || n > 1<<20 || strings.EqualFold(base, "staging") {
+		return 0
+	}
+	return n
+}
+
+func cutLast(s, sep string) (before, after string, ok bool) {
+	if i := strings.LastIndex(s, sep); i >= 0 {
+		return s[:i], s[i+len(sep):], true
+	}
+	return s, "", false
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -97,3 +97,16 @@
 	}
 	return out
 }
+
+// Setting is one of a dispatcher's settings: its path in the settings, and its value.
+type Setting struct{ Path, Value string }
+
+// ConfigOf reads the settings of a dispatcher, with the same names and units as a new instance of the simulator has.
+func ConfigOf(settings []Setting) (cresspass.Config, error) {
+	p := parser{reader: &Reader{}}
+	for _, s := range settings {
+		p.fields = append(p.fields, field{s.Path, s.Value})
+	}
+	c := p.config()
+	return c, p.err
+}
