--- a/internal/nodehttp/nodehttp.go
+++ b/internal/nodehttp/nodehttp.go
@@ -1,6 +1,7 @@
-// Package nodehttp writes requests and reads answers of HTTP/1.1 as compute nodes speak it: one call at a time on a
-// connection. What comes is bounded before it is kept, and an answer that could be another's is an error: danger,
-// nothing in an answer names its call, so a connection that once gave more than was asked for is never used again.
+// Package nodehttp writes requests and reads answers of HTTP/1.1 as compute nodes speak it: one call at a
+// time on a connection. What comes is bounded before it is kept, and an answer that could be another's is
+// an error: danger, nothing in an answer names its call, so a connection that once gave more than was asked
+// for is never used again.
 package nodehttp
 
 import (
@@ -58,8 +59,8 @@
 	return append(b, body...)
 }
 
-// Read reads one final answer; 1xx answers before it are passed over. An error of the reader itself is returned as
-// it is, with io.ErrUnexpectedEOF for an end inside an answer and io.EOF before its first byte.
+// Read reads one final answer; 1xx answers before it are passed over. An error of the reader itself is
+// returned as it is, with io.ErrUnexpectedEOF for an end inside an answer and io.EOF before its first byte.
 func Read(r *bufio.Reader) (*Answer, error) {
 	for range infoMost {
 		a, err := readHead(r)
@@ -99,8 +100,8 @@
 		return nil, err
 	}
 	status := string(first)
-	if len(status) < 12 || status[:7] != "HTTP/1." || status[7] != '1' && status[7] != '0' || status[8] != ' ' ||
-		len(status) > 12 && status[12] != ' ' {
+	if len(status) < 12 || status[:7] != "HTTP/1." || status[7] != '1' && status[7] != '0' ||
+		status[8] != ' ' || len(status) > 12 && status[12] != ' ' {
 		return nil, spoilt("status line %.40q", status)
 	}
 	code, err := strconv.Atoi(status[9:12])
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -15,10 +15,10 @@
 const (
 	newsAfter  = 250 * time.Millisecond // after which a compute node answers a question for news (PROTOCOL)
 	answerWait = 350 * time.Millisecond // more than that an answer may take on its way
-	forgotten  = 2 * time.Second        // after which a query that nobody asks for is given up by its compute node
+	forgotten  = 2 * time.Second        // after which a compute node gives up what nobody asks for
 	againFirst = 10 * time.Millisecond  // before a call is made again, doubled each time
 	againMost  = 160 * time.Millisecond //
-	spoiltMost = 8                      // calls in a row without a good answer before the result is taken for lost
+	spoiltMost = 8                      // calls in a row without a good answer: the result is lost
 	pagesMost  = 64                     // pages of a result
 	overtime   = 100 * time.Millisecond // on top of forgotten, for a clock that is not ours
 )
@@ -120,8 +120,9 @@
 	a.sent = true
 	a.asked = time.Now()
 	left := max(time.Until(a.until).Milliseconds(), 1)
-	answer, err := c.call(newsAfter+answerWait, "POST", "/x", a.q.body, "X-Ticket", a.q.ticket, "X-Queue",
-		a.q.class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.nonce, "Grant-Mb", a.grant, "Rank", a.rank)
+	answer, err := c.call(newsAfter+answerWait, "POST", "/x", a.q.body, "X-Ticket", a.q.ticket,
+		"X-Queue", a.q.class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.nonce,
+		"Grant-Mb", a.grant, "Rank", a.rank)
 	if errors.Is(err, errUnsure) { // nothing was written
 		a.sent = false
 		return nil, cresspass.ConnectFailed, nil
@@ -170,7 +171,8 @@
 			}
 		}
 		if err != nil || answer.Close {
-			// Danger: the query runs on although its connection is lost, so its news is asked for on another one.
+			// Danger: the query runs on although its connection is lost, so its news is asked for on
+			// another one.
 			a.hold(nil)
 			a.s.pool.put(c, false)
 			c = nil
@@ -268,13 +270,13 @@
 	kind, ok := kinds[r.Header["x-remark"]]
 	v, err := strconv.ParseFloat(r.Header["figure"], 64)
 	if ok && err == nil && v >= 0 && v <= valueMost {
-		a.s.loop.Post(cresspass.Event{Type: cresspass.Progress, Query: a.q.id, Attempt: a.number, Engine: a.engine,
-			Note: kind, Value: v})
+		a.s.loop.Post(cresspass.Event{Type: cresspass.Progress, Query: a.q.id, Attempt: a.number,
+			Engine: a.engine, Note: kind, Value: v})
 	}
 }
 
-// giveUp has the compute node give the query up. Danger: until it has, the attempt is out, and no other may be sent
-// beside it. Where the compute node can't be told, it gives up by itself what nobody asks for.
+// giveUp has the compute node give the query up. Danger: until it has, the attempt is out, and no other may
+// be sent beside it. Where the compute node can't be told, it gives up by itself what nobody asks for.
 func (a *attempt) giveUp() {
 	if !a.sent {
 		return
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -1,6 +1,7 @@
-// Package platform is the platform's protocol as a front and a back of the dispatcher: clients speak Thrift in frames,
-// compute nodes HTTP/1.1, and a notice board tells of them in server-sent events. It shells package dispatch; what
-// it decides itself is the protocol's: which connection, what to ask again, and what was no answer.
+// Package platform is the platform's protocol as a front and a back of the dispatcher: clients speak Thrift
+// in frames, compute nodes HTTP/1.1, and a notice board tells of them in server-sent events. It shells
+// package dispatch; what it decides itself is the protocol's: which connection, what to ask again, and what
+// was no answer.
 package platform
 
 import (
@@ -86,8 +87,8 @@
 	return c, nil
 }
 
-// flatten turns nested settings into the simulator's pairs: paths with dots, lists of plain values set apart by
-// commas, lists of objects with their length under count.
+// flatten turns nested settings into the simulator's pairs: paths with dots, lists of plain values set
+// apart by commas, lists of objects with their length under count.
 func flatten(data []byte) ([]wire.Setting, error) {
 	d := json.NewDecoder(bytes.NewReader(data))
 	d.UseNumber()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// crowded closes a connection to make room: of those without an open request, one that never said anything before
-// others, and then the one that was silent for longest.
+// crowded closes a connection to make room: of those without an open request, one that never said anything
+// before others, and then the one that was silent for longest.
 func (f *front) crowded() bool {
 	f.mu.Lock()
 	var victim *client
@@ -312,7 +312,8 @@
 	c.mu.Unlock()
 	var b []byte
 	for _, q := range open {
-		b = thrift.AppendRaised(b, "dispatch", q.seq, thrift.Fault, [2]string{"reason", "the connection can't be read"})
+		b = thrift.AppendRaised(b, "dispatch", q.seq, thrift.Fault,
+			[2]string{"reason", "the connection can't be read"})
 		c.f.s.gone(q)
 	}
 	if len(b) > 0 {
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -13,11 +13,12 @@
 	"cresspass/internal/nodehttp"
 )
 
-// restFor is how long a connection is left alone after an answer. Danger: a compute node may send a second copy of
-// an answer, which would be taken for the answer to the next query's call.
+// restFor is how long a connection is left alone after an answer. Danger: a compute node may send a second
+// copy of an answer, which would be taken for the answer to the next query's call.
 const restFor = 20 * time.Millisecond
 
-// sparse is the part of ConnIdle after which an idle connection is closed by us, before the compute node does.
+// sparse is the part of ConnIdle after which an idle connection is closed by us, before the compute node
+// does.
 const sparse = 0.6
 
 var (
@@ -107,9 +108,10 @@
 		free: map[cresspass.EngineID][]*nodeConn{}}
 }
 
-// get returns a connection to a compute node: one that rests since long enough, else a new one, for which it waits
-// where there are too many.
-func (p *pool) get(ctx context.Context, engine cresspass.EngineID, addr string, fresh bool) (*nodeConn, error) {
+// get returns a connection to a compute node: one that rests since long enough, else a new one, for which
+// it waits where there are too many.
+func (p *pool) get(ctx context.Context, engine cresspass.EngineID, addr string,
+	fresh bool) (*nodeConn, error) {
 	p.mu.Lock()
 	now := time.Now()
 	for list := p.free[engine]; !fresh && len(list) > 0; list = p.free[engine] {
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -15,7 +15,7 @@
 // Limits of what a request may say.
 const (
 	limitMost = time.Hour
-	valueMost = 1e12 // of the estimates of work and memory
+	valueMost = 1e9 // of the estimates of work and memory
 )
 
 // terms is what a request asked for, as far as it goes on to compute nodes.
@@ -37,8 +37,8 @@
 	return r
 }
 
-// read turns a request into the module's event, still without its id. Danger: what is taken here goes into headers
-// of calls to compute nodes, so nothing passes that is not of its form.
+// read turns a request into the module's event, still without its id. Danger: what is taken here goes into
+// headers of calls to compute nodes, so nothing passes that is not of its form.
 func (r reader) read(q *thrift.Request) (cresspass.Event, terms, error) {
 	t := terms{ticket: q.Fields["txn"], class: q.Fields["verb"], nonce: q.Fields["unique"], body: q.Body}
 	ev := cresspass.Event{Type: cresspass.QueryTaken, Class: t.class, IsRepeat: q.Fields["second"] == "1"}
@@ -68,7 +68,7 @@
 		return ev, t, err
 	}
 	ev.TimeLeft = time.Duration(limit * float64(time.Millisecond))
-	ev.Cost = time.Duration(math.Min(cost, float64(math.MaxInt64/time.Millisecond/2)) * float64(time.Millisecond))
+	ev.Cost = time.Duration(cost * float64(time.Millisecond))
 	ev.HasCost = cost > 0
 	ev.Tables = float64(sqlscan.Group(string(q.Body)))
 	return ev, t, nil
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -172,7 +172,8 @@
 	}
 }
 
-// reload reads the configuration again. Danger: a configuration that can't be read must not end the dispatcher.
+// reload reads the configuration again. Danger: a configuration that can't be read must not end the
+// dispatcher.
 func (s *service) reload() {
 	cfg, err := Load(s.path)
 	if err != nil {
@@ -188,15 +189,16 @@
 	var st dispatch.Stats
 	s.loop.Ask(func(c *dispatch.Core) { st = c.Stats() })
 	s.pool.mu.Lock()
-	open, waiting, dials, reused, crowded := s.pool.open, len(s.pool.wait), s.pool.dials, s.pool.reused, s.pool.crowded
+	open, waiting := s.pool.open, len(s.pool.wait)
+	dials, reused, crowded := s.pool.dials, s.pool.reused, s.pool.crowded
 	s.pool.mu.Unlock()
 	ends := map[string]uint64{}
 	s.outcomes.Range(func(k, v any) bool {
 		ends[strconv.Itoa(int(k.(cresspass.Outcome)))] = v.(*atomic.Uint64).Load()
 		return true
 	})
-	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(), "nodes", open,
-		"waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded, "spoilt", s.spoilt.Load(),
+	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(),
+		"nodes", open, "waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded, "spoilt", s.spoilt.Load(),
 		"broken", s.broken.Load(), "unread", s.unread.Load(), "shut", s.shut.Load(), "lag", s.loop.Lag(),
 		"board", s.watch.asked.Load())
 }
@@ -278,7 +280,8 @@
 		if addr := s.watch.addr(o.Engine); addr != "" {
 			go s.probe(o.Engine, addr)
 		} else {
-			s.loop.Post(cresspass.Event{Type: cresspass.ProbeDone, Engine: o.Engine, Outcome: cresspass.ConnectFailed})
+			s.loop.Post(cresspass.Event{Type: cresspass.ProbeDone, Engine: o.Engine,
+				Outcome: cresspass.ConnectFailed})
 		}
 	case dispatch.CloseIdle:
 		s.pool.closeIdle(o.Engine)
@@ -298,11 +301,12 @@
 		if q != nil {
 			outcome = cresspass.ConnectFailed
 		}
-		s.loop.Post(cresspass.Event{Type: cresspass.AttemptDone, Query: o.Query, Attempt: o.Attempt, Engine: o.Engine,
-			Outcome: outcome})
+		s.loop.Post(cresspass.Event{Type: cresspass.AttemptDone, Query: o.Query, Attempt: o.Attempt,
+			Engine: o.Engine, Outcome: outcome})
 		return
 	}
-	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.until, begun: time.Now()}
+	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.until,
+		begun: time.Now()}
 	if o.MemoryMB > 0 {
 		a.grant = strconv.FormatInt(int64(math.Ceil(o.MemoryMB)), 10)
 	}
--- a/internal/sqlscan/group.go
+++ b/internal/sqlscan/group.go
@@ -6,8 +6,9 @@
 )
 
 // Group returns the number of the group of tables that a text reads or writes: what stands behind the last
-// underscore in the name of a schema (17 in sales_17.orders), outside comments and quoted texts; 0 where there is
-// none. The schema staging is no group. A name after FROM, JOIN, INTO, UPDATE, TABLE or COPY goes before any other.
+// underscore in the name of a schema (17 in sales_17.orders), outside comments and quoted texts; 0 where
+// there is none. The schema staging is no group. A name after FROM, JOIN, INTO, UPDATE, TABLE or COPY goes
+// before any other.
 func Group(text string) int {
 	s := scanner{text: text}
 	first := 0
