--- a/events.go
+++ b/events.go
@@ -6,6 +6,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -88,6 +89,22 @@
 	}
 }
 
+// ending brings all deadlines forward to a time after which this gateway answers nobody.
+func (g *Gateway) ending(left time.Duration) {
+	g.endsAt = g.now + max(left, 1)
+	ids := make([]QueryID, 0, len(g.queries))
+	for id := range g.queries {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if q := g.queries[id]; q.deadline > g.endsAt {
+			q.deadline = g.endsAt
+			g.timer(max(0, left-g.expiry()), uint64(id)+1)
+		}
+	}
+}
+
 func (g *Gateway) peerTold(ev *Event) {
 	m, entries := decodePeer(ev.Data)
 	switch {
--- a/gateway.go
+++ b/gateway.go
@@ -571,12 +571,15 @@
 	if c.InOrder && ev.Key != "" {
 		g.lineUp(q, ev.Key)
 	}
+	if g.endsAt > 0 {
+		q.deadline = min(q.deadline, g.endsAt)
+	}
 	g.hold(q)
 	g.scout(q)
-	if ev.TimeLeft <= g.expiry() {
+	if left := q.deadline - g.now; left <= g.expiry() {
 		g.finish(q)
 	} else {
-		g.timer(ev.TimeLeft-g.expiry(), uint64(q.id)+1)
+		g.timer(left-g.expiry(), uint64(q.id)+1)
 	}
 }
 
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,89 @@
+package board
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cresspass"
+)
+
+func event(id int, full bool, servers string) string {
+	return fmt.Sprintf("id: %d\ndata: {\"rev\":%d,\"pool\":{\"version\":1,\"full\":%v,\"servers\":[%s]}}\n\n",
+		id, id, full, servers)
+}
+
+func server(id, state string, started int64) string {
+	return fmt.Sprintf(`{"id":%q,"addr":"10.0.0.1:1","zone":"z","kind":"k","state":%q,"weight":4,`+
+		`"started_ms":%d}`, id, state, started)
+}
+
+// TestEverySplit: a stream gives the same events wherever it is cut, and one that breaks off gives no half
+// event.
+func TestEverySplit(t *testing.T) {
+	stream := event(1, true, server("a", "up", 0)) + ": comment\n\n" +
+		event(2, false, server("a", "draining", 0))
+	for cut := range stream {
+		var p Parser
+		var ids []uint64
+		got := func(ev Event) { ids = append(ids, ev.ID) }
+		if err := p.Feed([]byte(stream[:cut]), got); err != nil {
+			t.Fatal(err)
+		}
+		if err := p.Feed([]byte(stream[cut:len(stream)-1]), got); err != nil {
+			t.Fatal(err)
+		}
+		if len(ids) != 1 || ids[0] != 1 {
+			t.Fatalf("cut at %d: events %v before the last is whole", cut, ids)
+		}
+		p.Feed([]byte(stream[len(stream)-1:]), got)
+		if len(ids) != 2 || ids[1] != 2 {
+			t.Fatalf("cut at %d: events %v", cut, ids)
+		}
+	}
+	var p Parser
+	if err := p.Feed(make([]byte, Most+1), func(Event) {}); err == nil {
+		t.Error("no error for an endless line")
+	}
+}
+
+// TestFollow: what was told before is passed over, a gap and what can't be read change nothing, a compute
+// node that left has no address, and starts are on the module's clock.
+func TestFollow(t *testing.T) {
+	f := NewFollower(func(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond })
+	take := func(text string) (cresspass.Event, Verdict, error) {
+		var p Parser
+		var ev Event
+		p.Feed([]byte(text), func(e Event) { ev = e })
+		return f.Take(ev)
+	}
+	list, v, err := take(event(3, true, server("a", "up", 0)+","+server("b", "up", 50)))
+	if err != nil || v != Taken || list.Listing != cresspass.ListFull || len(list.Engines) != 2 ||
+		list.Engines[1].Started != 50*time.Millisecond || list.Engines[0].Started != 0 {
+		t.Fatalf("%+v, %v, %v", list, v, err)
+	}
+	_, v, err = take(event(3, false, server("b", "removed", 0)))
+	if v != Known || err != nil || f.Addr("b") == "" {
+		t.Errorf("told twice: %v, %v", v, err)
+	}
+	if _, v, err = take(event(5, false, server("b", "removed", 0))); v != Gap || err != nil || f.Last() != 3 {
+		t.Errorf("gap: %v, %v, last %d", v, err, f.Last())
+	}
+	if _, _, err = take("id: 4\ndata: {\"rev\":4,\"pool\":{\"serv\n\n"); err == nil || f.Last() != 3 {
+		t.Error("half an event was taken")
+	}
+	if _, _, err = take(event(4, false, server("b", "confused", 0))); err == nil || f.Last() != 3 {
+		t.Error("an unknown state was taken")
+	}
+	_, v, err = take(event(4, false, server("b", "removed", 0)))
+	if v != Taken || err != nil || f.Addr("b") != "" {
+		t.Errorf("%v, %v, address %q", v, err, f.Addr("b"))
+	}
+	if gone := f.Gone(); len(gone) != 1 || gone[0] != "b" {
+		t.Errorf("gone: %v", gone)
+	}
+	_, v, _ = take(event(9, true, server("c", "up", 0)))
+	if v != Taken || f.Addr("a") != "" || f.Addr("c") == "" {
+		t.Errorf("a whole list after a gap: %v", v)
+	}
+}
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -186,3 +186,45 @@
 		t.Errorf("outputs %+v, books %+v", out, st)
 	}
 }
+
+// TestPace: a loop steps once a tick while steps are short, takes a third of the core while they are long,
+// and is never away for long.
+func TestPace(t *testing.T) {
+	for took, want := range map[time.Duration]time.Duration{0: ms, ms / 10: ms, 2 * ms: 6 * ms,
+		time.Second: stepMost} {
+		if got := pace(ms, took); got != want {
+			t.Errorf("a step of %v: %v, want %v", took, got, want)
+		}
+	}
+}
+
+// TestPacedLoopStepsOnceATick: however many events come one by one, a paced loop takes them in few steps.
+func TestPacedLoopStepsOnceATick(t *testing.T) {
+	steps := &counter{}
+	core := NewCoreWith(steps, config(), 0)
+	l := NewLoop(core, Monotonic(), func(*Output) {})
+	l.Paced(5 * time.Millisecond)
+	go l.Run()
+	begun := time.Now()
+	for range 200 {
+		l.Post(cresspass.Event{Type: cresspass.TimerDue, Label: 9})
+		time.Sleep(100 * time.Microsecond)
+	}
+	l.Ask(func(*Core) {})
+	most := int64(time.Since(begun)/(5*time.Millisecond)) + 3
+	l.Close()
+	if steps.events != 200 || steps.steps > most {
+		t.Errorf("%d events in %d steps, at most %d", steps.events, steps.steps, most)
+	}
+}
+
+// counter is a decider that only counts.
+type counter struct{ steps, events int64 }
+
+func (c *counter) Handle(_ time.Duration, events []cresspass.Event, a []cresspass.Action) []cresspass.Action {
+	c.steps++
+	c.events += int64(len(events))
+	return a
+}
+func (c *counter) Snapshot() []byte                    { return nil }
+func (c *counter) Restore([]byte, time.Duration) error { return nil }
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -39,9 +39,9 @@
 	return &Loop{core: core, clock: clock, do: do, wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
-// Paced has steps begin no more often than a tick, and less often while each takes long. Danger: the module looks
-// at every held query in each step, so one step an event fills the core as queries pile up, and answers come too
-// late. It is to be called before Run.
+// Paced has steps begin no more often than a tick, and less often while each takes long. Danger: the module
+// looks at every held query in each step, so one step an event fills the core as queries pile up, and
+// answers come too late. It is to be called before Run.
 func (l *Loop) Paced(tick time.Duration) { l.tick = tick }
 
 // Of a paced loop.
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -19,6 +19,8 @@
 	againFirst = 10 * time.Millisecond  // before a call is made again, doubled each time
 	againMost  = 160 * time.Millisecond //
 	spoiltMost = 8                      // calls in a row without a good answer: the result is lost
+	quickNews  = 3                      // answers without an end that may come at once, one after another
+	quickPause = 25 * time.Millisecond  // between questions, from then on
 	pagesMost  = 64                     // pages of a result
 	overtime   = 100 * time.Millisecond // on top of forgotten, for a clock that is not ours
 )
@@ -127,7 +129,7 @@
 		a.sent = false
 		return nil, cresspass.ConnectFailed, nil
 	}
-	bad, doubt := 0, false
+	bad, doubt, quick := 0, false, 0
 	next := 0 // the page that is asked for
 	count := 0
 	for {
@@ -153,6 +155,13 @@
 			case news:
 				bad = 0
 				a.note(answer)
+				// Danger: a compute node that answers at once, and always without news, would be asked
+				// without a pause.
+				if quick++; time.Since(a.asked) >= quickPause {
+					quick = 0
+				} else if quick > quickNews {
+					a.sleep(quickPause)
+				}
 			case never:
 				good = !answer.Close
 				if answer.Status == 504 {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// closeAll closes all connections.
+func (f *front) closeAll() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.net.Close()
+	}
+}
+
 func (f *front) size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -307,6 +307,19 @@
 	delete(p.free, engine)
 }
 
+// closeAll closes all idle connections; the pool is not used any more.
+func (p *pool) closeAll() {
+	p.mu.Lock()
+	engines := make([]cresspass.EngineID, 0, len(p.free))
+	for engine := range p.free {
+		engines = append(engines, engine)
+	}
+	p.mu.Unlock()
+	for _, engine := range engines {
+		p.closeIdle(engine)
+	}
+}
+
 // sweep closes what has been idle for too long.
 func (p *pool) sweep() {
 	p.mu.Lock()
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -27,7 +27,9 @@
 	clientShare  = 0.42                   // of the descriptors, for clients, who hold a third of them at most
 	spare        = 24                     // descriptors for all else
 	newAfterTerm = 650 * time.Millisecond // in which connections and requests still come after SIGTERM
-	endSlack     = 500 * time.Millisecond // after the longest deadline, in which the last answers leave
+	waitMost     = 3 * time.Second        // of the longest deadline that the platform waits after SIGTERM
+	answersBy    = 400 * time.Millisecond // after that, all queries must have their answers...
+	endSlack     = 600 * time.Millisecond // ...and the dispatcher ends; it would be killed at 700 ms
 	lookEvery    = 10 * time.Second       // of the figures in the log
 	sweepEvery   = 500 * time.Millisecond
 )
@@ -147,6 +149,9 @@
 			for _, c := range s.cfg.Module.Classes {
 				longest = max(longest, c.Deadline)
 			}
+			longest = min(longest, waitMost)
+			// Danger: the platform kills what is still there, and with it queries that nobody then answers.
+			s.loop.Post(cresspass.Event{Type: cresspass.Ending, TimeLeft: longest + answersBy})
 			lastCall, end = time.After(newAfterTerm), time.After(longest+endSlack)
 			sweep.Reset(sweepEvery / 10)
 		case <-lastCall:
@@ -187,8 +192,7 @@
 
 // look writes figures to the log.
 func (s *service) look() {
-	var st dispatch.Stats
-	s.loop.Ask(func(c *dispatch.Core) { st = c.Stats() })
+	st := s.stats()
 	s.pool.mu.Lock()
 	open, waiting := s.pool.open, len(s.pool.wait)
 	dials, reused, crowded := s.pool.dials, s.pool.reused, s.pool.crowded
@@ -199,11 +203,31 @@
 		return true
 	})
 	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(),
-		"nodes", open, "waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded, "spoilt", s.spoilt.Load(),
+		"nodes", open, "waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded,
+		"spoilt", s.spoilt.Load(),
 		"broken", s.broken.Load(), "unread", s.unread.Load(), "shut", s.shut.Load(), "lag", s.loop.Lag(),
 		"board", s.watch.asked.Load())
 }
 
+func (s *service) stats() (st dispatch.Stats) {
+	s.loop.Ask(func(c *dispatch.Core) { st = c.Stats() })
+	return st
+}
+
+// stop ends what start began. Attempts under way end by themselves.
+func (s *service) stop() {
+	s.front.ln.Close()
+	s.front.closeAll()
+	s.watch.stop()
+	s.mu.Lock()
+	for _, a := range s.attempts {
+		a.stop(cresspass.Cancelled)
+	}
+	s.mu.Unlock()
+	s.loop.Close()
+	s.pool.closeAll()
+}
+
 func (s *service) ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -33,6 +33,7 @@
 	follower *board.Follower
 	at       string
 	cancel   context.CancelFunc // of the call under way
+	ended    bool
 }
 
 func newWatcher(s *service, at string) *watcher {
@@ -57,15 +58,29 @@
 	}
 }
 
-// run asks until the process ends.
+// stop ends run.
+func (w *watcher) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended = true
+	if w.cancel != nil {
+		w.cancel()
+	}
+}
+
+// run asks until stop.
 func (w *watcher) run() {
 	wait := boardAgain
 	for {
 		ctx, cancel := context.WithCancel(context.Background())
 		w.mu.Lock()
-		at, last := w.at, w.follower.Last()
+		at, last, ended := w.at, w.follower.Last(), w.ended
 		w.cancel = cancel
 		w.mu.Unlock()
+		if ended {
+			cancel()
+			return
+		}
 		w.asked.Add(1)
 		heard, err := w.ask(ctx, at, last)
 		moved := ctx.Err() != nil
--- a/rules_test.go
+++ b/rules_test.go
@@ -94,6 +94,19 @@
 	want(t, b.at(ms, Event{Type: EngineList, Listing: ListFull, Engines: []EngineInfo{std("e1")}}))
 }
 
+// TestRule1AnswersBeforeTheEnd: one that is told when it ends answers all before, those it takes meanwhile as well.
+func TestRule1AnswersBeforeTheEnd(t *testing.T) {
+	b := newBench(t, testConfig(), std("e1"))
+	want(t, b.ask(1, "short", ""), Send)
+	sent := b.last[0]
+	b.at(ms, Event{Type: Ending, TimeLeft: time.Second})
+	want(t, b.at(400*ms, Event{Type: EngineList, Listing: ListFull}))
+	want(t, b.ask(2, "short", "")) // no engine is left: it is held while it may yet fit
+	want(t, b.at(590*ms, Event{Type: TimerDue, Label: 2}, Event{Type: TimerDue, Label: 3}), Refuse, Cancel, Refuse)
+	want(t, b.at(ms, ended(sent, 0, Cancelled, ms)))
+	want(t, b.at(20*ms, Event{Type: QueryTaken, Query: 3, Class: "short", TimeLeft: time.Second}), Refuse)
+}
+
 func TestRule1NothingAfterTheClientLeft(t *testing.T) {
 	b := newBench(t, testConfig())
 	want(t, b.ask(1, "short", ""))
--- a/state.go
+++ b/state.go
@@ -144,6 +144,7 @@
 	scratch  []float64
 	random   *rand.Rand
 	askAt    time.Duration
+	endsAt   time.Duration // no answer may be given later; 0: none told
 	started  bool
 
 	gateways           float64
@@ -339,6 +340,8 @@
 		g.ahead = ev.Took - g.now
 	case EngineDown:
 		g.heardDown(g.engines[ev.Engine])
+	case Ending:
+		g.ending(ev.TimeLeft)
 	case SessionKept:
 		if e := g.engines[ev.Engine]; e != nil {
 			e.sessions = math.Max(0, e.sessions+ev.Value)
--- a/types.go
+++ b/types.go
@@ -200,6 +200,7 @@
 	SessionKept                  // Engine, Value: 1, one more session is kept there; -1, one less
 	FleetCount                   // Peer: our ordinal; Value: gateways, this one included; Took: a clock that all of them share
 	EngineDown                   // Engine: others tell that it does not answer
+	Ending                       // TimeLeft: until then all queries, newcomers too, must have their final answers
 )
 
 // Listing says how an EngineList event is to be read.
