--- a/gateway.go
+++ b/gateway.go
@@ -224,7 +224,7 @@
 		if !e.sick {
 			g.scratch = append(g.scratch, e.slow)
 		}
-		if all++; e.latency > math.Log(pressureRatio) && e.threads >= g.boundStart(e) {
+		if all++; e.latency > math.Log(pressureRatio) && e.threads >= boundUsed*g.boundStart(e) {
 			pressed++
 		}
 		if silent >= silentCount && !e.sick {
