Latency of an engine that answers nothing fades

Need: with half of our part as the measure, engines that once looked slow stayed pressed: their latency had no news and never fell (state kept by adapt() and watch() only).

--- a/gateway.go
+++ b/gateway.go
@@ -178,7 +178,7 @@
 	sat, busy := 0.0, 0.0
 	for _, e := range g.list {
 		sat += e.sessions
-		e.slow *= keepSlow
+		e.slow, e.latency = e.slow*keepSlow, e.latency*keepCrowd
 		g.accrue(e)
 		g.coldTurn(e)
 		others, less := &e.count[len(g.order)], e.recent*(1-keepRecent)
