--- a/gateway_test.go
+++ b/gateway_test.go
@@ -354,3 +354,29 @@
 		}
 	}
 }
+
+// Engines that looked slow once, and then got nothing, are no overload of the fleet: what is seen of them fades, and
+// an engine of whose cores we use little is not under our pressure (a recorded day of montreal-est refused a tenth).
+func TestNoOverloadOfIdleEngines(t *testing.T) {
+	cfg := Config{Seed: 1, Gateways: 1, Tick: 5 * ms, KindNames: []string{"std"}, KindCores: []float64{8},
+		Classes: []Class{{Name: "q", Aim: time.Second, AimStretch: 1, Deadline: 10 * time.Second, Worth: 1}}}
+	b := newBench(t, cfg, std("e1"), std("e2"), std("e3"))
+	for _, e := range b.g.list {
+		e.latency = 1.4 // four times the best
+	}
+	if b.at(50*ms, Event{Type: TimerDue}); b.g.pressed {
+		t.Error("idle engines count as an overload")
+	}
+	for _, e := range b.g.list {
+		e.threads = 6
+	}
+	if b.at(50*ms, Event{Type: TimerDue}); !b.g.pressed {
+		t.Error("slow engines with most of their cores in use count as none")
+	}
+	for range 400 {
+		b.at(50*ms, Event{Type: TimerDue})
+	}
+	if b.g.pressed || b.g.list[0].latency > 0.4 {
+		t.Errorf("20 s without an answer: latency %.2f, pressed %v", b.g.list[0].latency, b.g.pressed)
+	}
+}
