A request lost on its way is no failure of its compute node, and is asked about at once

Checked: the log counts 554 attempts that ended as resets, while the compute nodes answered the question about the query at once and said that they knew none (attempt.go, play, case failed); the module counts a reset as a failing engine. Change: such an attempt ends as one without an answer, which may have run and says nothing of the engine; a first broken call is followed up without a pause. A test on sockets fails without it.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -172,7 +172,10 @@
 			case failed:
 				good = !answer.Close
 				if doubt {
-					return nil, cresspass.Reset, report // it may not know the query any more
+					// Danger: the way there broke, and the compute node is well: it says that it knows no
+					// such query. As a reset it would count as failing, be shunned, and leave the others
+					// with its load.
+					return nil, cresspass.TimedOut, report
 				}
 				return nil, cresspass.Failed, report
 			case nonsense:
@@ -200,8 +203,8 @@
 			c = nil
 		}
 		for c == nil {
-			if bad > 0 {
-				a.sleep(min(againFirst<<min(bad-1, 8), againMost))
+			if bad > 1 { // one reset is asked about at once
+				a.sleep(min(againFirst<<min(bad-2, 8), againMost))
 			}
 			if c, err = a.s.pool.get(a.ctx, a.engine, a.addr, bad > 0); err != nil {
 				if a.isStopped() {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"cresspass"
 	"cresspass/internal/thrift"
 )
 
@@ -78,6 +80,40 @@
 	}
 }
 
+// TestRequestLostOnItsWay: where the connection breaks while a query comes, and its compute node never got
+// it, the query is sent again, and the compute node does not count as one that fails.
+func TestRequestLostOnItsWay(t *testing.T) {
+	r := newRig(t, 256)
+	var mu sync.Mutex
+	lost, known := map[string]bool{}, map[string]bool{}
+	r.node.set(func(w http.ResponseWriter, _ *http.Request, call, ticket string) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case call == "POST" && !lost[ticket]:
+			lost[ticket] = true
+			reset(w)
+		case call == "POST":
+			known[ticket] = true
+			return false
+		case call == "GET 0" && !known[ticket]:
+			w.WriteHeader(500)
+		default:
+			return false
+		}
+		return true
+	})
+	a := r.dial()
+	for i := range 12 {
+		a.served(i+1, 1)
+	}
+	for _, o := range []cresspass.Outcome{cresspass.Reset, cresspass.Failed, cresspass.ConnectFailed} {
+		if _, counted := r.outcomes.Load(o); counted {
+			t.Errorf("an attempt ended with %d", o)
+		}
+	}
+}
+
 // lateCopy answers, and again a little later.
 func lateCopy(w http.ResponseWriter, text string) {
 	c, b, _ := w.(http.Hijacker).Hijack()
