An attempt's life is a pure machine, held to its rules by random faults; cresspass node as a process under test

Need: the attempt decided in its goroutine what to ask again and when it is out no more, and only sockets could test it; the issue wants decisions apart, and the real program started as the platform does. Change: computenode.Machine takes what became of a call and gives the next one; platform's attempt is its shell. Process test: served over three pages, refused with later, failed, cancelled, moved by SIGHUP, ended by SIGTERM with a request open, bad starts.

--- a/cmd/cresspass/main.go
+++ b/cmd/cresspass/main.go
@@ -24,7 +24,7 @@
 type cli struct {
 	Serve    serveCmd    `cmd:"" help:"Run a dispatcher."`
 	Check    checkCmd    `cmd:"" help:"Verify a settings file; names faults by file:line:column."`
-	Platform platformCmd `cmd:"" help:"Run a dispatcher on the platform, by its protocol and configuration."`
+	Node     nodeCmd     `cmd:"" help:"Run a dispatcher on the platform, by its protocol and configuration."`
 	Engine   engineCmd   `cmd:"" help:"Run a stand-in engine."`
 	Roster   rosterCmd   `cmd:"" help:"Run a stand-in engine list (endpoint discovery over gRPC)."`
 	Load     loadCmd     `cmd:"" help:"Ask dispatchers at a rate, open loop, and count what became of it."`
--- a/cmd/cresspass/platform.go
+++ b/cmd/cresspass/node.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -8,12 +9,15 @@
 	"cresspass/internal/platform"
 )
 
-type platformCmd struct {
-	Config string `short:"c" env:"ROUTER_CONFIG" required:"" help:"The platform's configuration, as JSON."`
+type nodeCmd struct {
+	Config string `short:"c" env:"ROUTER_CONFIG" help:"The platform's configuration, as JSON."`
 }
 
 // Run serves the platform until SIGTERM.
-func (c platformCmd) Run() error {
+func (c nodeCmd) Run() error {
+	if c.Config == "" {
+		return errors.New("node: ROUTER_CONFIG is not set, and no --config is given")
+	}
 	level := new(slog.LevelVar)
 	log, err := logger(os.Stdout, "info", "text", level)
 	if err != nil {
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -47,6 +47,24 @@
 	}
 }
 
+// FuzzBoard: whatever a notice board sends, reading it ends without a panic, and the last number never goes
+// back.
+func FuzzBoard(f *testing.F) {
+	f.Add([]byte(event(1, true, server("a", "up", 0)) + event(2, false, server("a", "removed", 5))))
+	f.Add([]byte("id: 7\ndata: {\"rev\":7}\n\nid: 8\ndata\n\n:\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var p Parser
+		follower := NewFollower(func(ms int64) time.Duration { return time.Duration(ms) })
+		p.Feed(b, func(ev Event) {
+			last := follower.Last()
+			if _, v, err := follower.Take(ev); follower.Last() < last || (err != nil || v != Taken) &&
+				follower.Last() != last {
+				t.Errorf("from %d to %d, %v, %v", last, follower.Last(), v, err)
+			}
+		})
+	})
+}
+
 // TestFollow: what was told before is passed over, a gap and what can't be read change nothing, a compute
 // node that left has no address, and starts are on the module's clock.
 func TestFollow(t *testing.T) {
--- /dev/null
+++ b/internal/computenode/computenode_test.go
@@ -0,0 +1,184 @@
+package computenode
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cresspass"
+	"cresspass/internal/nodehttp"
+)
+
+const ms = time.Millisecond
+
+// world is a compute node behind a network that loses, breaks and spoils, under a hand-driven clock.
+type world struct {
+	t        *rapid.T
+	now      time.Duration
+	posts    int
+	running  bool // the query is out there
+	ended    bool // it ran to a good end; its result is kept
+	failed   bool
+	dead     bool
+	needs    int // questions until it ends
+	pages    int
+	lastAsk  time.Duration
+	shed     bool
+	troubles int // calls that may yet go wrong
+}
+
+func page(n int) []byte { return []byte(fmt.Sprintf("r%d\tx\ty\n", n)) }
+
+func (w *world) head(pairs ...string) map[string]string {
+	h := map[string]string{}
+	for i := 0; i < len(pairs); i += 2 {
+		h[pairs[i]] = pairs[i+1]
+	}
+	return h
+}
+
+// arrive is what the compute node does with a call that comes whole, and its answer.
+func (w *world) arrive(s Step) *nodehttp.Answer {
+	if w.running && w.now-w.lastAsk > forgotten {
+		w.running = false // nobody asked
+	}
+	w.lastAsk = w.now
+	switch {
+	case s.Type == Start:
+		w.posts++
+		if w.shed {
+			return &nodehttp.Answer{Status: 503, Header: w.head("x-shed", "1")}
+		}
+		w.running = true
+	case s.Type == Delete:
+		w.running, w.ended = false, false
+		return &nodehttp.Answer{Status: 204}
+	case !w.running && !w.ended:
+		return &nodehttp.Answer{Status: 500}
+	}
+	if w.running {
+		if w.needs--; w.needs > 0 {
+			w.now += newsAfter
+			return &nodehttp.Answer{Status: 202, Header: w.head("x-remark", "frac", "figure", "0.5")}
+		}
+		w.running = false
+		if w.failed {
+			return &nodehttp.Answer{Status: 500}
+		}
+		w.ended = true
+	}
+	if s.Page >= w.pages {
+		return &nodehttp.Answer{Status: 500}
+	}
+	if s.Type == Start || s.Page == 0 {
+		h := w.head("page-count", strconv.Itoa(w.pages))
+		return &nodehttp.Answer{Status: 200, Header: h, Body: page(0)}
+	}
+	return &nodehttp.Answer{Status: 200, Header: w.head("page-no", strconv.Itoa(s.Page)), Body: page(s.Page)}
+}
+
+// do carries a step out, with whatever befalls it.
+func (w *world) do(s Step) Event {
+	w.now += s.Pause + ms
+	trouble := "none"
+	if w.troubles > 0 {
+		trouble = rapid.SampledFrom([]string{"none", "none", "request lost", "answer lost", "spoilt",
+			"unreached", "no room", "dies", "other page"}).Draw(w.t, "trouble")
+		w.troubles--
+	}
+	if trouble == "dies" {
+		w.dead, w.running, w.ended = true, false, false
+	}
+	switch {
+	case w.dead:
+		return Event{Type: Refused}
+	case trouble == "unreached":
+		w.now += wayMost
+		return Event{Type: Unreached}
+	case trouble == "no room":
+		return Event{Type: NoRoom}
+	case trouble == "request lost":
+		w.now += s.Wait
+		return Event{Type: Broken}
+	}
+	a := w.arrive(s)
+	switch trouble {
+	case "answer lost":
+		w.now += s.Wait
+		return Event{Type: Broken}
+	case "spoilt":
+		return Event{Type: Answered, Answer: &nodehttp.Answer{Status: 200, Header: w.head("page-count", "1"),
+			Body: []byte("no row")}}
+	case "other page":
+		return Event{Type: Answered, Answer: &nodehttp.Answer{Status: 200, Header: w.head("page-no", "77"),
+			Body: page(77)}}
+	}
+	return Event{Type: Answered, Answer: a}
+}
+
+// TestAttempt: whatever befalls its calls, an attempt posts once, ends once, in good time, is not out any
+// more by then, says that it never ran only where it never did, and has no rows but its own, all of them
+// and in order.
+func TestAttempt(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{t: t, now: time.Hour, needs: rapid.IntRange(1, 6).Draw(t, "needs"),
+			pages: rapid.IntRange(1, 9).Draw(t, "pages"), failed: rapid.IntRange(0, 5).Draw(t, "failed") == 0,
+			shed:     rapid.IntRange(0, 5).Draw(t, "shed") == 0,
+			troubles: rapid.IntRange(0, 30).Draw(t, "troubles")}
+		stopAt := rapid.IntRange(-20, 12).Draw(t, "stop")
+		m := &Machine{}
+		s := m.Next(w.now, Event{Type: Begin})
+		for n := 0; s.Type != End; n++ {
+			if n > 200 {
+				t.Fatal("it does not end")
+			}
+			if s.Type == Start && n > 0 {
+				t.Fatal("the query was posted twice")
+			}
+			ev := w.do(s)
+			if n != stopAt || ev.Type == Answered || ev.Type == Broken {
+				s = m.Next(w.now, ev)
+			}
+			if n == stopAt && s.Type != End {
+				s = m.Next(w.now, Event{Type: Stop, Outcome: cresspass.Cancelled})
+			}
+		}
+		if w.running && w.now-w.lastAsk <= forgotten {
+			t.Fatalf("ended with %d while its query runs on", s.Outcome)
+		}
+		if s.Outcome.NeverRan() && w.posts > 0 && !w.shed {
+			t.Fatalf("ended with %d, but the query came", s.Outcome)
+		}
+		if s.Outcome == cresspass.OK {
+			if len(s.Pages) != w.pages {
+				t.Fatalf("%d pages of %d", len(s.Pages), w.pages)
+			}
+			for i, p := range s.Pages {
+				if string(p) != string(page(i)) {
+					t.Fatalf("page %d is %q", i, p)
+				}
+			}
+		}
+		if stopAt < 0 && w.troubles >= 0 && w.posts == 1 && !w.dead && !w.shed && !w.failed && s.Outcome ==
+			cresspass.Failed {
+			t.Fatal("failed without a failure")
+		}
+	})
+}
+
+// TestQuickNewsArePaced: a compute node that answers at once, and never with an end, is not asked without a
+// pause.
+func TestQuickNewsArePaced(t *testing.T) {
+	m, now := &Machine{}, time.Hour
+	s := m.Next(now, Event{Type: Begin})
+	for range 100 {
+		now += s.Pause + ms/10
+		s = m.Next(now, Event{Type: Answered, Answer: &nodehttp.Answer{Status: 202}})
+	}
+	if now-time.Hour < 90*quickPause {
+		t.Errorf("100 questions in %v", now-time.Hour)
+	}
+}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"os"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"cresspass"
 	"cresspass/internal/thrift"
+	"cresspass/internal/wire"
 )
 
 // TestServes: what a client says reaches the compute node unchanged, and all pages come back in order.
@@ -296,7 +298,7 @@
 	r := newRig(t, 256)
 	a := r.dial()
 	a.served(1, 1)
-	time.Sleep(newsAfter + answerWait + 50*time.Millisecond)
+	time.Sleep(700 * time.Millisecond)
 	a.served(2, 1)
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
@@ -378,6 +380,35 @@
 	}
 }
 
+// TestOneMappingOfSettings: the simulator's pairs and the platform's JSON give the module the same settings.
+func TestOneMappingOfSettings(t *testing.T) {
+	r := &rig{t: t, board: &notices{}, sockets: 256}
+	r.board.add(true, "s-1", "127.0.0.1:1", "up")
+	cfg, err := Parse(r.config("127.0.0.1:2"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	settings, err := flatten(cfg.Settings)
+	if err != nil {
+		t.Fatal(err)
+	}
+	line := "clock now-us=0\nprovision dispatcher=0 rng-seed=" + fmt.Sprint(cfg.Module.Seed)
+	for _, s := range settings {
+		line += " " + s.Path + "=" + strings.ReplaceAll(s.Value, " ", "_")
+	}
+	batch, err := wire.NewReader(strings.NewReader(line + "\neob\n")).Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sim := batch.Messages[0].Config; !reflect.DeepEqual(sim, cfg.Module) {
+		t.Errorf("the simulator's wire gives\n%+v, the configuration\n%+v", sim, cfg.Module)
+	}
+	k := cfg.Module.Classes
+	if len(k) != 2 || k[0].Aim != 400*time.Millisecond || k[1].Effect != cresspass.Keyed {
+		t.Errorf("classes %+v", k)
+	}
+}
+
 // TestSettings: settings that contradict themselves, or are none, are errors that name what is wrong.
 func TestSettings(t *testing.T) {
 	for text, want := range map[string]string{
--- /dev/null
+++ b/internal/platform/process_test.go
@@ -0,0 +1,140 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cresspass/internal/thrift"
+)
+
+// TestProcess starts the real program as the platform does, and counts final answers: served over several
+// pages, refused with a time to come back, failed, cancelled, by a new notice board after SIGHUP, and open
+// at SIGTERM.
+func TestProcess(t *testing.T) {
+	program := filepath.Join(t.TempDir(), "cresspass")
+	build := exec.Command("go", "build", "-o", program, "cresspass/cmd/cresspass")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	for name, env := range map[string]string{"ROUTER_CONFIG is not set": "", "no/such/file": "no/such/file"} {
+		c := exec.Command(program, "node")
+		c.Env = []string{"ROUTER_CONFIG=" + env}
+		out, err := c.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), name) {
+			t.Errorf("a bad start: %v, %q", err, out)
+		}
+	}
+	r := &rig{t: t, node: newNode(t), board: newNotices(t), sockets: 256,
+		path: filepath.Join(t.TempDir(), "c.json")}
+	r.board.add(true, "s-1", address(r.node.Server), "up")
+	free, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := free.Addr().String()
+	free.Close()
+	config := func(b *notices) {
+		data := bytes.Replace(r.config(address(b.Server)), []byte("127.0.0.1:0"), []byte(at), 1)
+		if err := os.WriteFile(r.path, data, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	config(r.board)
+	r.node.pages = 3
+	stuck := map[string]bool{ticket(3): true, ticket(7): true}
+	r.node.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
+		if stuck[id] && call != "DELETE" {
+			time.Sleep(50 * time.Millisecond)
+			w.WriteHeader(202)
+			return true
+		}
+		return false
+	})
+	c := exec.Command(program, "node")
+	var log bytes.Buffer
+	c.Stdout, c.Stderr, c.Env = &log, &log, append(os.Environ(), "ROUTER_CONFIG="+r.path)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	defer c.Process.Kill()
+	dial := func() *asker {
+		conn, err := net.Dial("tcp", at)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		conn.SetDeadline(time.Now().Add(20 * time.Second))
+		return newAsker(t, conn)
+	}
+	within(t, "the dispatcher listens", func() bool {
+		conn, err := net.Dial("tcp", at)
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	})
+	a := dial()
+	a.net.Write(thrift.AppendAlive(nil, 99))
+	if h := a.hear(); h.kind != "answer" {
+		t.Fatalf("alive: %+v\n%s", h, log.String())
+	}
+	a.served(1, 3)
+	a.ask(fields(ticket(2), "quick", "1")) // no time is left for it
+	if h := a.hear(); h.kind != "shed" || !strings.Contains(h.text, "later") {
+		t.Errorf("no time left: %+v", h)
+	}
+	a.ask(fields(ticket(4), "quack", "1000"))
+	if h := a.hear(); h.kind != "fault" {
+		t.Errorf("unknown class: %+v", h)
+	}
+	seq := a.ask(fields(ticket(3), "quick", "60000"))
+	within(t, "the query is sent", func() bool { return r.node.count("POST "+ticket(3)) == 1 })
+	a.net.Write(thrift.AppendCancel(nil, 98, seq))
+	within(t, "it is given up", func() bool { return r.node.count("DELETE "+ticket(3)) > 0 })
+	a.served(5, 3) // the next thing heard is no answer to what was cancelled
+
+	moved, second := newNotices(t), newNode(t)
+	moved.list = append([]string(nil), r.board.list...)
+	moved.add(false, "s-1", address(r.node.Server), "draining")
+	moved.add(false, "s-2", address(second.Server), "up")
+	config(moved)
+	c.Process.Signal(syscall.SIGHUP)
+	within(t, "queries go by the new board", func() bool {
+		n := second.count("POST")
+		a.served(1000+int(time.Now().UnixNano()%1e9), 1)
+		return second.count("POST") > n
+	})
+	second.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
+		if stuck[id] && call != "DELETE" {
+			time.Sleep(50 * time.Millisecond)
+			w.WriteHeader(202)
+			return true
+		}
+		return false
+	})
+	a.ask(fields(ticket(7), "quick", "60000"))
+	within(t, "a query is open", func() bool { return second.count("POST "+ticket(7)) == 1 })
+	begun := time.Now()
+	c.Process.Signal(syscall.SIGTERM)
+	dial().served(8, 1)
+	if h := a.hear(); h.kind != "shed" {
+		t.Errorf("open at the end: %+v", h)
+	}
+	if err := <-ended; err != nil || time.Since(begun) > waitMost+endSlack+time.Second {
+		t.Errorf("ended %v after %v\n%s", err, time.Since(begun), log.String())
+	}
+	if h := a.hear(); h.kind != "closed" {
+		t.Errorf("one answer too many: %s", fmt.Sprint(h))
+	}
+}
--- a/internal/platform/request.go
+++ b/internal/platform/request.go
@@ -118,20 +118,3 @@
 	}
 	return values, found == len(fields)
 }
-
-// rows reports whether a page holds whole rows of three columns.
-func rows(page []byte) bool {
-	tabs := 0
-	for _, c := range page {
-		switch c {
-		case '\t':
-			tabs++
-		case '\n':
-			if tabs != 2 {
-				return false
-			}
-			tabs = 0
-		}
-	}
-	return tabs == 0 && (len(page) == 0 || page[len(page)-1] == '\n')
-}
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -236,9 +236,11 @@
 	}
 	r.t.Cleanup(func() { c.Close() })
 	c.SetDeadline(time.Now().Add(20 * time.Second))
-	return &asker{t: r.t, net: c, in: bufio.NewReader(c)}
+	return newAsker(r.t, c)
 }
 
+func newAsker(t *testing.T, c net.Conn) *asker { return &asker{t: t, net: c, in: bufio.NewReader(c)} }
+
 func fields(ticket, class, limit string, more ...string) [][2]string {
 	f := [][2]string{{"txn", ticket}, {"verb", class}, {"limit", limit}, {"cpu", "300.0"}, {"heap_mb", "64"}}
 	for i := 0; i+1 < len(more); i += 2 {
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -336,7 +336,7 @@
 	if o.Priority >= 0 {
 		a.rank = strconv.Itoa(o.Priority)
 	}
-	a.ctx, a.cancel = context.WithDeadline(context.Background(), q.until)
+	a.ctx, a.cancel = context.WithCancel(context.Background()) // the module stops it in time
 	s.mu.Lock()
 	s.attempts[attemptKey{o.Query, o.Attempt}] = a
 	s.mu.Unlock()
