A rested connection is not closed under who waits for it, nor one whose answer is written

Cause: evict() in pool.go read the clock again after take(), so that a connection which had rested by then was closed though somebody waited for it. And closeIdle() and crowded() in front.go took a client for idle while flush() was writing its answer, which then stands in no buffer. Change: one reading of the clock for both; a client is busy while an answer is being flushed.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -100,7 +100,7 @@
 	for c := range f.conns {
 		c.mu.Lock()
 		conns = append(conns, c)
-		states = append(states, seen{len(c.open) > 0 || len(c.out) > 0 || c.ending, c.spoke, now.Sub(c.last)})
+		states = append(states, seen{c.busy() || c.ending, c.spoke, now.Sub(c.last)})
 		c.mu.Unlock()
 	}
 	i := victim(states, muteFor)
@@ -117,13 +117,17 @@
 	return true
 }
 
+// busy reports whether a request is open, or an answer on its way. Danger: what the flushing goroutine has
+// taken to write stands in out no more.
+func (c *client) busy() bool { return len(c.open) > 0 || c.flushing }
+
 // closeIdle closes the connections on which nothing is open.
 func (f *front) closeIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
 		c.mu.Lock()
-		if len(c.open) == 0 && len(c.out) == 0 {
+		if !c.busy() {
 			c.net.Close()
 		}
 		c.mu.Unlock()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -243,6 +243,9 @@
 			t.Errorf("%s: %d, want %d", name, got, c.want)
 		}
 	}
+	if c := (&client{flushing: true}); !c.busy() { // what is being written stands nowhere else
+		t.Error("a connection whose answer is being written counts as idle")
+	}
 }
 
 // TestManyClients: connections that say nothing make room for those that ask.
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -125,7 +125,7 @@
 		}
 	}
 	if p.open >= p.budget.nodes() {
-		p.evict()
+		p.evict(now)
 	}
 	if p.open < p.budget.nodes() {
 		p.open++
@@ -221,7 +221,7 @@
 		}
 		i++
 	}
-	for len(p.wait) > 0 && p.evict() {
+	for len(p.wait) > 0 && p.evict(now) {
 	}
 	if len(p.wait) > 0 && len(p.free) > 0 {
 		p.settleSoon()
@@ -267,14 +267,14 @@
 
 // evict closes the connection that has been idle for longest and has rested. It reports whether there was
 // one.
-func (p *pool) evict() bool {
+func (p *pool) evict(now time.Time) bool {
 	var oldest *nodeConn
 	for _, list := range p.free {
 		if oldest == nil || list[0].rested.Before(oldest.rested) {
 			oldest = list[0]
 		}
 	}
-	if oldest == nil || time.Since(oldest.rested) < restFor {
+	if oldest == nil || now.Sub(oldest.rested) < restFor {
 		return false
 	}
 	p.remove(oldest.engine, 0)
