The platform read once more: one path for calls, one clock, fewer twins

Change: attempt.do carries out every step; takeAll, forget, appendFault, open and ended serve their twins; the notice board's end is its context's; nodehttp says in one place that an answer broke off; a client's message is read in one system call instead of three, and a connection's address and raw handle are kept instead of made for each call. Assertions are as they were.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"time"
 
@@ -195,7 +196,7 @@
 		old := f.addrs
 		f.addrs = make(map[cresspass.EngineID]string, len(n.Pool.Servers))
 		for id := range old {
-			if !lists(n.Pool.Servers, id) {
+			if !slices.ContainsFunc(n.Pool.Servers, func(s Server) bool { return s.ID == string(id) }) {
 				f.gone = append(f.gone, id)
 			}
 		}
@@ -211,12 +212,3 @@
 	}
 	return out, Taken, nil
 }
-
-func lists(servers []Server, id cresspass.EngineID) bool {
-	for i := range servers {
-		if servers[i].ID == string(id) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -58,14 +58,14 @@
 	Start  StepType = iota // POST the query; Wait
 	Ask                    // GET Page; after Pause; Fresh: not on the last connection; Wait
 	Delete                 // DELETE the query; after Pause; Fresh; Wait; no longer than Until
-	End                    // Outcome, Pages; Keep: the last connection is good
+	End                    // Outcome, Pages
 )
 
 // Step is the next thing to be done. Times are on the clock that the events' times are on.
 type Step struct {
 	Type        StepType
 	Page        int
-	Fresh, Keep bool
+	Fresh       bool
 	Pause, Wait time.Duration
 	Until       time.Duration
 	Outcome     cresspass.Outcome
@@ -92,9 +92,6 @@
 	calledAt     time.Duration // end of the pause before the last call
 }
 
-// Posted reports whether the query may have come to the compute node.
-func (m *Machine) Posted() bool { return m.posted }
-
 // Next takes an event at a time and returns what is to be done.
 func (m *Machine) Next(now time.Duration, ev Event) Step {
 	last := m.calledAt
@@ -109,8 +106,7 @@
 	}
 	switch {
 	case ev.Type == Stop:
-		m.bad = 0
-		return m.leave(now, ev.Outcome)
+		return m.leave(ev.Outcome)
 	case m.leaving:
 		return m.left(now, ev)
 	case ev.Type == Answered:
@@ -122,7 +118,7 @@
 	case ev.Type == Refused: // its process is dead, and with it the query
 		return Step{Type: End, Outcome: cresspass.Reset}
 	}
-	return m.broken(now, Note{})
+	return m.broken(now)
 }
 
 // answered reads an answer to Start or Ask.
@@ -134,13 +130,12 @@
 			m.count, _ = strconv.Atoi(r.Header["page-count"])
 		}
 		if m.size += len(r.Body); m.size > resultMost {
-			m.bad = brokenMost
-			return m.leave(now, cresspass.Failed)
+			return m.leave(cresspass.Failed)
 		}
 		m.pages = append(m.pages, r.Body)
 		m.bad = 0
 		if len(m.pages) >= max(m.count, 1) {
-			return Step{Type: End, Outcome: cresspass.OK, Pages: m.pages, Keep: !r.Close}
+			return Step{Type: End, Outcome: cresspass.OK, Pages: m.pages}
 		}
 		return m.ask(r.Close, 0, Note{})
 	case news:
@@ -156,31 +151,31 @@
 		return m.ask(r.Close, pause, note(r))
 	case never:
 		if r.Status == 504 {
-			return Step{Type: End, Outcome: cresspass.Moot, Keep: !r.Close}
+			return Step{Type: End, Outcome: cresspass.Moot}
 		}
-		return Step{Type: End, Outcome: cresspass.Full, Keep: !r.Close}
+		return Step{Type: End, Outcome: cresspass.Full}
 	case failed:
 		if m.doubt {
 			// Danger: the way there broke, and the compute node is well: it says that it knows no such
 			// query. As a reset it would count as failing, be shunned, and leave the others with its load.
-			return Step{Type: End, Outcome: cresspass.TimedOut, Keep: !r.Close}
+			return Step{Type: End, Outcome: cresspass.TimedOut}
 		}
-		return Step{Type: End, Outcome: cresspass.Failed, Keep: !r.Close}
+		return Step{Type: End, Outcome: cresspass.Failed}
 	}
-	return m.broken(now, Note{})
+	return m.broken(now)
 }
 
 // broken asks again: a query runs on although its connection is lost, and a result can be had again.
-func (m *Machine) broken(now time.Duration, n Note) Step {
+func (m *Machine) broken(now time.Duration) Step {
 	m.doubt = true
 	if m.bad++; m.bad > brokenMost && now-m.begun > forgotten {
-		return m.leave(now, cresspass.Reset)
+		return m.leave(cresspass.Reset)
 	}
 	pause := time.Duration(0) // one break is followed up at once
 	if m.bad > 1 {
 		pause = min(againFirst<<min(m.bad-2, 8), againMost)
 	}
-	return m.ask(true, pause, n)
+	return m.ask(true, pause, Note{})
 }
 
 func (m *Machine) ask(fresh bool, pause time.Duration, n Note) Step {
@@ -194,7 +189,7 @@
 
 // leave has the query given up. Danger: until its compute node knows, the attempt is out, and no other may
 // be sent beside it.
-func (m *Machine) leave(now time.Duration, outcome cresspass.Outcome) Step {
+func (m *Machine) leave(outcome cresspass.Outcome) Step {
 	m.leaving, m.outcome, m.bad = true, outcome, 0
 	if !m.posted {
 		return Step{Type: End, Outcome: outcome}
@@ -210,8 +205,7 @@
 	done := ev.Type == Refused ||
 		ev.Type == Answered && (ev.Answer.Status/100 == 2 || ev.Answer.Status == 500)
 	if done || now >= m.until() {
-		keep := ev.Type == Answered && !ev.Answer.Close
-		return Step{Type: End, Outcome: m.outcome, Keep: keep}
+		return Step{Type: End, Outcome: m.outcome}
 	}
 	m.bad++
 	return Step{Type: Delete, Fresh: true, Pause: min(againFirst<<min(m.bad-1, 8), againMost),
--- a/internal/nodehttp/nodehttp.go
+++ b/internal/nodehttp/nodehttp.go
@@ -62,6 +62,9 @@
 // Read reads one final answer; 1xx answers before it are passed over. An error of the reader itself is
 // returned as it is, with io.ErrUnexpectedEOF for an end inside an answer and io.EOF before its first byte.
 func Read(r *bufio.Reader) (*Answer, error) {
+	if _, err := r.Peek(1); err != nil {
+		return nil, err
+	}
 	for range infoMost {
 		a, err := readHead(r)
 		if err != nil {
@@ -83,11 +86,8 @@
 	if err == bufio.ErrBufferFull || len(b) > *left {
 		return nil, spoilt("a head of more than %d bytes", headMost)
 	}
-	if err == io.EOF && len(b) > 0 {
-		err = io.ErrUnexpectedEOF
-	}
 	if err != nil {
-		return nil, err
+		return nil, inside(err)
 	}
 	*left -= len(b)
 	return bytes.TrimSuffix(b[:len(b)-1], []byte("\r")), nil
@@ -111,9 +111,6 @@
 	a := &Answer{Status: code, Header: map[string]string{}, Close: status[7] == '0'}
 	for {
 		b, err := line(r, &left)
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
 		if err != nil {
 			return nil, err
 		}
@@ -177,8 +174,13 @@
 
 func full(r io.Reader, b []byte) error {
 	_, err := io.ReadFull(r, b)
+	return inside(err)
+}
+
+// inside is an error where an answer has begun.
+func inside(err error) error {
 	if err == io.EOF {
-		err = io.ErrUnexpectedEOF
+		return io.ErrUnexpectedEOF
 	}
 	return err
 }
@@ -187,9 +189,6 @@
 	left := headMost
 	for {
 		b, err := line(r, &left)
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
 		if err != nil {
 			return err
 		}
@@ -206,9 +205,6 @@
 			}
 		}
 		b, err = line(r, &left)
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
 		if err != nil {
 			return err
 		}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -62,34 +62,33 @@
 // run plays the attempt and posts its one outcome.
 func (a *attempt) run() {
 	var m computenode.Machine
-	var c *nodeConn
+	var c *nodeConn // of the last call, while it is whole
+	release := func(good bool) {
+		if c != nil {
+			a.hold(nil)
+			a.s.pool.put(c, good)
+			c = nil
+		}
+	}
 	ev := cresspass.Event{Type: cresspass.AttemptDone, Query: a.q.id, Attempt: a.number, Engine: a.engine}
 	now := func() time.Duration { return time.Since(a.begun) }
 	stopSeen := false
 	step := m.Next(now(), computenode.Event{Type: computenode.Begin})
 	for step.Type != computenode.End {
 		a.note(step.Note)
-		if c != nil && (step.Fresh || step.Type == computenode.Ask && a.s.pool.wanted()) {
+		if step.Fresh || step.Type == computenode.Ask && a.s.pool.wanted() {
 			// A broken one is closed; where others wait for a connection, this query goes to the end of
 			// their line.
-			a.hold(nil)
-			a.s.pool.put(c, !step.Fresh)
-			c = nil
+			release(!step.Fresh)
 		}
 		var got computenode.Event
-		if step.Type == computenode.Delete {
-			got, c = a.giveUp(step, c)
-		} else {
-			got, c = a.call(step, c)
-		}
+		got, c = a.do(step, c)
 		if got.Answer != nil {
 			if r, ok := meter(got.Answer.Header["x-meter"], a.s.reportFields); ok {
 				ev.Report, ev.HasReport = r, true
 			}
-			if got.Answer.Close && c != nil {
-				a.hold(nil)
-				a.s.pool.put(c, false)
-				c = nil
+			if got.Answer.Close {
+				release(false)
 			}
 		}
 		a.mu.Lock()
@@ -100,50 +99,39 @@
 		}
 		if stopped && step.Type != computenode.End {
 			stopSeen = true
-			if c != nil { // it was interrupted
-				a.hold(nil)
-				a.s.pool.put(c, false)
-				c = nil
-			}
+			release(false) // it was interrupted
 			step = m.Next(now(), computenode.Event{Type: computenode.Stop, Outcome: a.outcome})
 		}
 	}
-	a.hold(nil)
-	if c != nil {
-		a.s.pool.put(c, step.Keep)
-	}
+	release(true)
 	ev.Outcome, ev.Took = step.Outcome, now()
 	if step.Outcome == cresspass.OK {
 		ev.Finished = a.q.serve(step.Pages)
 	}
 	a.cancel()
-	a.s.count(ev.Outcome)
-	a.s.forget(a)
+	a.s.ended(a, ev.Outcome)
 	a.s.loop.Post(ev)
 }
 
-// call carries out a Start or an Ask on a connection, or on another where there is none.
-func (a *attempt) call(step computenode.Step, c *nodeConn) (computenode.Event, *nodeConn) {
-	a.sleep(a.ctx, step.Pause)
+// do carries out a step on a connection, or on another where there is none. Nothing interrupts a Delete.
+func (a *attempt) do(step computenode.Step, c *nodeConn) (computenode.Event, *nodeConn) {
+	ctx := a.ctx
+	if step.Type == computenode.Delete {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.Background(), a.begun.Add(step.Until))
+		defer cancel()
+	}
+	sleep(ctx, step.Pause)
 	if c == nil {
 		var err error
-		if c, err = a.s.pool.get(a.ctx, a.engine, a.addr, step.Fresh); err != nil {
+		if c, err = a.s.pool.get(ctx, a.engine, a.addr, step.Fresh); err != nil {
 			return computenode.Event{Type: unreached(err)}, nil
 		}
 	}
-	if !a.hold(c) {
+	if step.Type != computenode.Delete && !a.hold(c) {
 		return computenode.Event{Type: computenode.Unreached}, c
 	}
-	var answer *nodehttp.Answer
-	var err error
-	if step.Type == computenode.Start {
-		left := max(time.Until(a.until).Milliseconds(), 1)
-		answer, err = c.call(step.Wait, "POST", "/x", a.q.body, "X-Ticket", a.q.ticket,
-			"X-Queue", a.q.class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.nonce,
-			"Grant-Mb", a.grant, "Rank", a.rank)
-	} else {
-		answer, err = c.call(step.Wait, "GET", "/x/"+a.q.ticket+"/"+strconv.Itoa(step.Page), nil)
-	}
+	answer, err := a.call(step, c)
 	if err == nil {
 		return computenode.Event{Type: computenode.Answered, Answer: answer}, c
 	}
@@ -152,30 +140,28 @@
 	if errors.Is(err, errUnsure) { // nothing was written
 		return computenode.Event{Type: computenode.Unreached}, nil
 	}
-	a.s.broken.Add(1)
-	if errors.Is(err, nodehttp.ErrSpoilt) {
-		a.s.spoilt.Add(1)
+	if step.Type != computenode.Delete {
+		a.s.broken.Add(1)
+		if errors.Is(err, nodehttp.ErrSpoilt) {
+			a.s.spoilt.Add(1)
+		}
 	}
 	return computenode.Event{Type: computenode.Broken}, nil
 }
 
-// giveUp carries out a Delete, which nothing interrupts.
-func (a *attempt) giveUp(step computenode.Step, c *nodeConn) (computenode.Event, *nodeConn) {
-	ctx, cancel := context.WithDeadline(context.Background(), a.begun.Add(step.Until))
-	defer cancel()
-	a.sleep(ctx, step.Pause)
-	if c == nil {
-		var err error
-		if c, err = a.s.pool.get(ctx, a.engine, a.addr, step.Fresh); err != nil {
-			return computenode.Event{Type: unreached(err)}, nil
-		}
-	}
-	answer, err := c.call(step.Wait, "DELETE", "/x/"+a.q.ticket, nil)
-	if err != nil {
-		a.s.pool.put(c, false)
-		return computenode.Event{Type: computenode.Broken}, nil
+// call makes a step's call.
+func (a *attempt) call(step computenode.Step, c *nodeConn) (*nodehttp.Answer, error) {
+	path := "/x/" + a.q.ticket
+	switch step.Type {
+	case computenode.Start:
+		left := max(time.Until(a.until).Milliseconds(), 1)
+		return c.call(step.Wait, "POST", "/x", a.q.body, "X-Ticket", a.q.ticket,
+			"X-Queue", a.q.class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.nonce,
+			"Grant-Mb", a.grant, "Rank", a.rank)
+	case computenode.Delete:
+		return c.call(step.Wait, "DELETE", path, nil)
 	}
-	return computenode.Event{Type: computenode.Answered, Answer: answer}, c
+	return c.call(step.Wait, "GET", path+"/"+strconv.Itoa(step.Page), nil)
 }
 
 // unreached says what it means that no connection was had.
@@ -190,7 +176,7 @@
 }
 
 // sleep waits, or until the context ends.
-func (a *attempt) sleep(ctx context.Context, d time.Duration) {
+func sleep(ctx context.Context, d time.Duration) {
 	if d <= 0 {
 		return
 	}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bufio"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -23,6 +24,7 @@
 	openMost    = 32                     // requests open on a connection (PROTOCOL)
 	outMost     = 4 << 20                // bytes that wait for a client that doesn't read
 	readStep    = 8 << 10                // a message grows by this, so that a told length alone costs nothing
+	readAhead   = 1 << 10                // bytes read at once: mostly a whole message
 	acceptPause = 10 * time.Millisecond  // after an accept that failed
 	lingerFor   = 200 * time.Millisecond // for a last answer to be taken before a connection is closed
 )
@@ -41,6 +43,7 @@
 	f   *front
 	net net.Conn
 	raw syscall.RawConn
+	in  *bufio.Reader
 
 	mu       sync.Mutex
 	open     map[int32]*ask
@@ -72,14 +75,13 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		cl := &client{f: f, net: c, open: map[int32]*ask{}, last: time.Now()}
+		cl := &client{f: f, net: c, in: bufio.NewReaderSize(c, readAhead), open: map[int32]*ask{},
+			last: time.Now()}
 		if sc, ok := c.(syscall.Conn); ok {
 			cl.raw, _ = sc.SyscallConn()
 		}
-		f.mu.Lock()
-		usual := len(f.conns) < f.budget.usual
-		f.mu.Unlock()
-		if !usual && !f.crowded(muteFor) && f.budget.full(f.s.pool.size()) && !f.crowded(pressing) {
+		if f.size() >= f.budget.usual && !f.crowded(muteFor) && f.budget.full(f.s.pool.size()) &&
+			!f.crowded(pressing) {
 			f.s.shut.Add(1)
 			c.Close()
 			continue
@@ -105,8 +107,7 @@
 	}
 	i := victim(states, muteFor)
 	if i >= 0 {
-		delete(f.conns, conns[i])
-		f.budget.clients.Store(int32(len(f.conns)))
+		f.forget(conns[i])
 	}
 	f.mu.Unlock()
 	if i < 0 {
@@ -117,6 +118,12 @@
 	return true
 }
 
+// forget takes a connection out of the books.
+func (f *front) forget(c *client) {
+	delete(f.conns, c)
+	f.budget.clients.Store(int32(len(f.conns)))
+}
+
 // busy reports whether a request is open, or an answer on its way. Danger: what the flushing goroutine has
 // taken to write stands in out no more.
 func (c *client) busy() bool { return len(c.open) > 0 || c.flushing }
@@ -156,13 +163,13 @@
 	var frame []byte
 	c.net.SetReadDeadline(time.Now().Add(speakWithin))
 	for first := true; ; first = false {
-		if _, err := io.ReadFull(c.net, head[:1]); err != nil {
+		if _, err := io.ReadFull(c.in, head[:1]); err != nil {
 			return
 		}
 		if !first {
 			c.net.SetReadDeadline(time.Now().Add(frameWithin))
 		}
-		if _, err := io.ReadFull(c.net, head[1:]); err != nil {
+		if _, err := io.ReadFull(c.in, head[1:]); err != nil {
 			return
 		}
 		n := binary.BigEndian.Uint32(head[:])
@@ -178,7 +185,7 @@
 			step := min(left, readStep)
 			at := len(frame)
 			frame = append(frame, make([]byte, step)...)
-			if _, err := io.ReadFull(c.net, frame[at:]); err != nil {
+			if _, err := io.ReadFull(c.in, frame[at:]); err != nil {
 				return
 			}
 			left -= step
@@ -220,14 +227,24 @@
 	return true
 }
 
+// appendFault adds the answer to a request that is itself at fault.
+func appendFault(b []byte, seq int32, reason string) []byte {
+	return thrift.AppendRaised(b, "dispatch", seq, thrift.Fault, [2]string{"reason", reason})
+}
+
 // dispatch takes a request, or says why it can't be taken.
 func (c *client) dispatch(r *thrift.Request) {
+	if err := c.admit(r); err != nil {
+		c.f.s.unread.Add(1)
+		c.send(appendFault(nil, r.Seq, err.Error()))
+	}
+}
+
+func (c *client) admit(r *thrift.Request) error {
 	s := c.f.s
 	ev, t, err := s.reader.read(r)
 	if err != nil {
-		s.unread.Add(1)
-		c.send(thrift.AppendRaised(nil, "dispatch", r.Seq, thrift.Fault, [2]string{"reason", err.Error()}))
-		return
+		return err
 	}
 	q := &ask{terms: t, seq: r.Seq, c: c, until: time.Now().Add(ev.TimeLeft)}
 	q.body = append([]byte(nil), t.body...)
@@ -237,23 +254,18 @@
 		err = errors.New("this number is open already")
 	case len(c.open) >= openMost:
 		err = errors.New("too many requests open on this connection")
+	case !s.admit(q):
+		err = errors.New("txn is open already")
 	default:
 		c.open[r.Seq] = q
 	}
 	c.mu.Unlock()
-	if err == nil && !s.admit(q) {
-		c.mu.Lock()
-		delete(c.open, r.Seq)
-		c.mu.Unlock()
-		err = errors.New("txn is open already")
-	}
 	if err != nil {
-		s.unread.Add(1)
-		c.send(thrift.AppendRaised(nil, "dispatch", r.Seq, thrift.Fault, [2]string{"reason", err.Error()}))
-		return
+		return err
 	}
 	ev.Query = q.id
 	s.loop.Post(ev)
+	return nil
 }
 
 // claim takes the right to answer a request: it has one answer at most.
@@ -267,6 +279,17 @@
 	return true
 }
 
+// takeAll takes the right to answer all that is open.
+func (c *client) takeAll() (open []*ask) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, q := range c.open {
+		open = append(open, q)
+	}
+	clear(c.open)
+	return open
+}
+
 // takeBack ends a request for which its client waits no longer.
 func (c *client) takeBack(seq int32) {
 	c.mu.Lock()
@@ -331,17 +354,9 @@
 // garbage ends a connection whose bytes can't be read: what is open on it is answered first.
 func (c *client) garbage() {
 	c.f.s.unread.Add(1)
-	c.mu.Lock()
-	var open []*ask
-	for seq, q := range c.open {
-		open = append(open, q)
-		delete(c.open, seq)
-	}
-	c.mu.Unlock()
 	var b []byte
-	for _, q := range open {
-		b = thrift.AppendRaised(b, "dispatch", q.seq, thrift.Fault,
-			[2]string{"reason", "the connection can't be read"})
+	for _, q := range c.takeAll() {
+		b = appendFault(b, q.seq, "the connection can't be read")
 		c.f.s.gone(q)
 	}
 	if len(b) > 0 {
@@ -353,16 +368,11 @@
 // over ends what is open on a connection that ended.
 func (c *client) over() {
 	c.f.mu.Lock()
-	delete(c.f.conns, c)
-	c.f.budget.clients.Store(int32(len(c.f.conns)))
+	c.f.forget(c)
 	c.f.mu.Unlock()
+	open := c.takeAll()
 	c.mu.Lock()
 	c.ending = true
-	var open []*ask
-	for seq, q := range c.open {
-		open = append(open, q)
-		delete(c.open, seq)
-	}
 	flushing := c.flushing
 	c.mu.Unlock()
 	if !flushing {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,7 +6,6 @@
 	"os"
 	"reflect"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -86,31 +85,22 @@
 // it, the query is sent again, and the compute node does not count as one that fails.
 func TestRequestLostOnItsWay(t *testing.T) {
 	r := newRig(t, 256)
-	var mu sync.Mutex
-	lost, known := map[string]bool{}, map[string]bool{}
 	r.node.set(func(w http.ResponseWriter, _ *http.Request, call, ticket string) bool {
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case call == "POST" && !lost[ticket]:
-			lost[ticket] = true
-			reset(w)
-		case call == "POST":
-			known[ticket] = true
-			return false
-		case call == "GET 0" && !known[ticket]:
-			w.WriteHeader(500)
-		default:
+		if call != "POST" || r.node.count("POST "+ticket) > 1 {
 			return false
 		}
+		r.node.forget(ticket)
+		reset(w)
 		return true
 	})
 	a := r.dial()
 	for i := range 12 {
 		a.served(i+1, 1)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for _, o := range []cresspass.Outcome{cresspass.Reset, cresspass.Failed, cresspass.ConnectFailed} {
-		if _, counted := r.outcomes.Load(o); counted {
+		if r.outcomes[o] > 0 {
 			t.Errorf("an attempt ended with %d", o)
 		}
 	}
@@ -160,13 +150,7 @@
 // TestBadClients: what can't be read gets an error or a close, is never sent on, and leaves others alone.
 func TestBadClients(t *testing.T) {
 	r := newRig(t, 256)
-	r.node.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
-		if id == ticket(0xaa) {
-			w.WriteHeader(202)
-			return true
-		}
-		return false
-	})
+	r.node.withhold(0, ticket(0xaa))
 	usual := r.dial()
 	held := usual.ask(fields(ticket(0xaa), "quick", "60000"))
 	for name, f := range map[string][][2]string{
@@ -359,13 +343,7 @@
 // ends.
 func TestLeaves(t *testing.T) {
 	r := newRig(t, 256)
-	r.node.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
-		if id == ticket(1) {
-			w.WriteHeader(202)
-			return true
-		}
-		return false
-	})
+	r.node.withhold(0, ticket(1))
 	signals := make(chan os.Signal, 1)
 	ended := make(chan error, 1)
 	go func() { ended <- r.live(signals) }()
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -30,7 +30,9 @@
 // nodeConn is a connection to a compute node, for one call at a time.
 type nodeConn struct {
 	engine cresspass.EngineID
+	addr   string
 	net    net.Conn
+	raw    syscall.RawConn
 	in     *bufio.Reader
 	rested time.Time // when its last answer was whole; zero: it is new
 	out    []byte
@@ -62,14 +64,10 @@
 	if c.in.Buffered() > 0 {
 		return false
 	}
-	raw, err := c.net.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
 	silent := false
 	// Danger: raw.Read would fail where the last call's deadline is over, and every connection that was
 	// idle for long would look dead.
-	err = raw.Control(func(fd uintptr) {
+	err := c.raw.Control(func(fd uintptr) {
 		var b [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		silent = err == syscall.EAGAIN
@@ -83,7 +81,7 @@
 	if !c.rested.IsZero() && !c.usable() || !c.begin(wait) {
 		return nil, errUnsure
 	}
-	c.out = nodehttp.AppendRequest(c.out[:0], method, path, c.net.RemoteAddr().String(), body, headers...)
+	c.out = nodehttp.AppendRequest(c.out[:0], method, path, c.addr, body, headers...)
 	if _, err := c.net.Write(c.out); err != nil {
 		return nil, err
 	}
@@ -156,6 +154,10 @@
 	}
 	d := net.Dialer{Timeout: p.connect, KeepAlive: -1}
 	c, err := d.DialContext(ctx, "tcp", addr)
+	var raw syscall.RawConn
+	if err == nil {
+		raw, err = c.(*net.TCPConn).SyscallConn()
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dials++
@@ -166,7 +168,7 @@
 		}
 		return nil, err
 	}
-	return &nodeConn{engine: engine, net: c, in: bufio.NewReaderSize(c, 4096)}, nil
+	return &nodeConn{engine: engine, addr: addr, net: c, raw: raw, in: bufio.NewReaderSize(c, 4096)}, nil
 }
 
 // waiter waits for a connection to a compute node.
@@ -266,7 +268,8 @@
 }
 
 // evict closes the connection that has been idle for longest and has rested. It reports whether there was
-// one.
+// one. Danger: by a later reading of the clock than take's, it would close what one who waits is about to
+// be given.
 func (p *pool) evict(now time.Time) bool {
 	var oldest *nodeConn
 	for _, list := range p.free {
@@ -313,14 +316,13 @@
 // closeAll closes all idle connections; the pool is not used any more.
 func (p *pool) closeAll() {
 	p.mu.Lock()
-	engines := make([]cresspass.EngineID, 0, len(p.free))
-	for engine := range p.free {
-		engines = append(engines, engine)
-	}
-	p.mu.Unlock()
-	for _, engine := range engines {
-		p.closeIdle(engine)
+	defer p.mu.Unlock()
+	for _, list := range p.free {
+		for _, c := range list {
+			p.close(c)
+		}
 	}
+	clear(p.free)
 }
 
 func (p *pool) size() int {
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -50,15 +49,7 @@
 	}
 	config(r.board)
 	r.node.pages = 3
-	stuck := map[string]bool{ticket(3): true, ticket(7): true}
-	r.node.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
-		if stuck[id] && call != "DELETE" {
-			time.Sleep(50 * time.Millisecond)
-			w.WriteHeader(202)
-			return true
-		}
-		return false
-	})
+	r.node.withhold(50*time.Millisecond, ticket(3))
 	c := exec.Command(program, "node")
 	var log bytes.Buffer
 	c.Stdout, c.Stderr, c.Env = &log, &log, append(os.Environ(), "ROUTER_CONFIG="+r.path)
@@ -115,14 +106,7 @@
 		a.served(1000+int(time.Now().UnixNano()%1e9), 1)
 		return second.count("POST") > n
 	})
-	second.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
-		if stuck[id] && call != "DELETE" {
-			time.Sleep(50 * time.Millisecond)
-			w.WriteHeader(202)
-			return true
-		}
-		return false
-	})
+	second.withhold(50*time.Millisecond, ticket(7))
 	a.ask(fields(ticket(7), "quick", "60000"))
 	within(t, "a query is open", func() bool { return second.count("POST "+ticket(7)) == 1 })
 	begun := time.Now()
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -12,6 +12,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,10 +29,12 @@
 	headers http.Header
 	answer  func(w http.ResponseWriter, r *http.Request, call, ticket string) bool // false: the usual answer
 	pages   int
+
+	known map[string]bool // tickets of queries that came
 }
 
 func newNode(t *testing.T) *node {
-	n := &node{pages: 1}
+	n := &node{pages: 1, known: map[string]bool{}}
 	n.Server = httptest.NewServer(n)
 	t.Cleanup(n.Close)
 	return n
@@ -53,10 +56,14 @@
 	n.mu.Lock()
 	n.calls = append(n.calls, call+" "+ticket)
 	if r.Method == "POST" {
-		n.headers = r.Header
+		n.headers, n.known[ticket] = r.Header, true
 	}
-	answer, pages := n.answer, n.pages
+	answer, pages, known := n.answer, n.pages, n.known[ticket]
 	n.mu.Unlock()
+	if r.Method == "GET" && len(parts) > 1 && !known { // nothing is made up for a query that never came
+		w.WriteHeader(500)
+		return
+	}
 	if answer != nil && answer(w, r, call, ticket) {
 		return
 	}
@@ -78,6 +85,26 @@
 	n.answer = f
 }
 
+// forget has a query not have come.
+func (n *node) forget(ticket string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.known, ticket)
+}
+
+// withhold has queries of some tickets run on for ever: each question is answered without news, after a
+// pause.
+func (n *node) withhold(pause time.Duration, tickets ...string) {
+	n.set(func(w http.ResponseWriter, _ *http.Request, call, ticket string) bool {
+		if call == "DELETE" || !slices.Contains(tickets, ticket) {
+			return false
+		}
+		time.Sleep(pause)
+		w.WriteHeader(202)
+		return true
+	})
+}
+
 // count tells how many calls began with some words.
 func (n *node) count(words string) (sum int) {
 	n.mu.Lock()
@@ -277,7 +304,7 @@
 	if _, err := io.ReadFull(a.in, b); err != nil {
 		return heard{kind: "cut"}
 	}
-	h, err := thrift.ParseHeader(b)
+	h, err := thrift.ParseRequest(b)
 	if err != nil {
 		a.t.Fatal(err)
 	}
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -51,9 +51,9 @@
 	attempts map[attemptKey]*attempt
 	lastID   cresspass.QueryID
 	leaving  bool
+	outcomes map[cresspass.Outcome]uint64 // of attempts
 
 	spoilt, broken, unread, shut atomic.Uint64
-	outcomes                     sync.Map // cresspass.Outcome to *atomic.Uint64
 }
 
 type attemptKey struct {
@@ -86,7 +86,7 @@
 func start(cfg *Config, path string, log *slog.Logger) (*service, error) {
 	s := &service{cfg: cfg, path: path, log: log, clock: dispatch.Monotonic(), reader: newReader(&cfg.Module),
 		reportFields: cfg.Module.ReportFields, asks: map[cresspass.QueryID]*ask{}, tickets: map[string]*ask{},
-		attempts: map[attemptKey]*attempt{}}
+		attempts: map[attemptKey]*attempt{}, outcomes: map[cresspass.Outcome]uint64{}}
 	core, err := dispatch.NewCore(cfg.Module, s.clock())
 	if err != nil {
 		return nil, err
@@ -195,15 +195,13 @@
 	open, waiting := s.pool.open, len(s.pool.wait)
 	dials, reused, crowded := s.pool.dials, s.pool.reused, s.pool.crowded
 	s.pool.mu.Unlock()
-	ends := map[string]uint64{}
-	s.outcomes.Range(func(k, v any) bool {
-		ends[strconv.Itoa(int(k.(cresspass.Outcome)))] = v.(*atomic.Uint64).Load()
-		return true
-	})
+	s.mu.Lock()
+	ends := fmt.Sprint(s.outcomes)
+	s.mu.Unlock()
 	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(),
 		"nodes", open, "waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded,
-		"spoilt", s.spoilt.Load(),
-		"broken", s.broken.Load(), "unread", s.unread.Load(), "shut", s.shut.Load(), "lag", s.loop.Lag(),
+		"spoilt", s.spoilt.Load(), "broken", s.broken.Load(), "unread", s.unread.Load(),
+		"shut", s.shut.Load(), "lag", s.loop.Lag(),
 		"board", s.watch.asked.Load())
 }
 
@@ -261,18 +259,19 @@
 	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.id, Outcome: cresspass.Cancelled})
 }
 
-func (s *service) count(o cresspass.Outcome) {
-	n, ok := s.outcomes.Load(o)
-	if !ok {
-		n, _ = s.outcomes.LoadOrStore(o, new(atomic.Uint64))
-	}
-	n.(*atomic.Uint64).Add(1)
+// ended takes an attempt out of the books.
+func (s *service) ended(a *attempt, o cresspass.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.outcomes[o]++
+	delete(s.attempts, attemptKey{a.q.id, a.number})
 }
 
-func (s *service) forget(a *attempt) {
+// open returns a request that has no answer yet; nil: there is none of that id.
+func (s *service) open(id cresspass.QueryID) *ask {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.attempts, attemptKey{a.q.id, a.number})
+	return s.asks[id]
 }
 
 // do carries out what the core puts out. It never waits.
@@ -288,13 +287,8 @@
 			a.stop(o.Outcome)
 		}
 	case dispatch.Refuse, dispatch.Fail:
-		s.mu.Lock()
-		q := s.asks[o.Query]
-		s.mu.Unlock()
-		if q == nil {
-			return
-		}
-		if o.Type == dispatch.Refuse {
+		if q := s.open(o.Query); q == nil {
+		} else if o.Type == dispatch.Refuse {
 			q.raise(thrift.Shed, o.Wait)
 		} else {
 			q.raise(thrift.Fault, 0)
@@ -315,10 +309,7 @@
 
 // begin starts an attempt.
 func (s *service) begin(o *dispatch.Output) {
-	s.mu.Lock()
-	q := s.asks[o.Query]
-	s.mu.Unlock()
-	addr := s.watch.addr(o.Engine)
+	q, addr := s.open(o.Query), s.watch.addr(o.Engine)
 	if q == nil || addr == "" { // its client has gone, or the compute node
 		outcome := cresspass.Moot
 		if q != nil {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -28,18 +27,21 @@
 type watcher struct {
 	s     *service
 	asked atomic.Uint64
+	life  context.Context
+	stop  context.CancelFunc // ends run
 
 	mu       sync.Mutex
 	follower *board.Follower
 	at       string
 	cancel   context.CancelFunc // of the call under way
-	ended    bool
 }
 
 func newWatcher(s *service, at string) *watcher {
-	return &watcher{s: s, at: at, follower: board.NewFollower(func(ms int64) time.Duration {
+	w := &watcher{s: s, at: at, follower: board.NewFollower(func(ms int64) time.Duration {
 		return max(s.clock()+time.Until(time.UnixMilli(ms)), 1)
 	})}
+	w.life, w.stop = context.WithCancel(context.Background())
+	return w
 }
 
 func (w *watcher) addr(engine cresspass.EngineID) string {
@@ -58,29 +60,15 @@
 	}
 }
 
-// stop ends run.
-func (w *watcher) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.ended = true
-	if w.cancel != nil {
-		w.cancel()
-	}
-}
-
 // run asks until stop.
 func (w *watcher) run() {
 	wait := boardAgain
-	for {
-		ctx, cancel := context.WithCancel(context.Background())
+	for w.life.Err() == nil {
+		ctx, cancel := context.WithCancel(w.life)
 		w.mu.Lock()
-		at, last, ended := w.at, w.follower.Last(), w.ended
+		at, last := w.at, w.follower.Last()
 		w.cancel = cancel
 		w.mu.Unlock()
-		if ended {
-			cancel()
-			return
-		}
 		w.asked.Add(1)
 		heard, err := w.ask(ctx, at, last)
 		moved := ctx.Err() != nil
@@ -124,7 +112,7 @@
 	if err := r.Write(c); err != nil {
 		return false, err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(io.LimitReader(c, 1<<40)), r)
+	resp, err := http.ReadResponse(bufio.NewReader(c), r)
 	if err != nil {
 		return false, err
 	}
--- a/internal/sqlscan/group.go
+++ b/internal/sqlscan/group.go
@@ -47,17 +47,10 @@
 
 // groupOf is the number behind a schema's underscore, if there is one.
 func groupOf(schema string) (int, bool) {
-	base, digits, ok := cutLast(schema, "_")
-	n, err := strconv.Atoi(digits)
-	if !ok || err != nil || n < 0 || n > 1<<20 || strings.EqualFold(base, "staging") {
+	i := strings.LastIndexByte(schema, '_')
+	n, err := strconv.Atoi(schema[i+1:])
+	if i < 0 || err != nil || n < 0 || n > 1<<20 || strings.EqualFold(schema[:i], "staging") {
 		return 0, false
 	}
 	return n, true
 }
-
-func cutLast(s, sep string) (before, after string, ok bool) {
-	if i := strings.LastIndex(s, sep); i >= 0 {
-		return s[:i], s[i+len(sep):], true
-	}
-	return s, "", false
-}
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -112,13 +112,6 @@
 	return d.take(int(n))
 }
 
-// ParseHeader reads how a frame's message begins. Where it gives an error, the rest of the connection can't
-// be trusted either.
-func ParseHeader(frame []byte) (Header, error) {
-	d := decoder{data: frame}
-	return d.header()
-}
-
 func (d *decoder) header() (h Header, err error) {
 	v, err := d.i32()
 	if err != nil {
