A test of failing heirs waits until the engine list is kept

A dispatcher is ready with its first list (server.go, post) and keeps it on disk after that (server.go, list: roster.Save, two fsyncs). The test, and the one that copies the folder of a dispatcher that died, wait for the file now: 8 of 8 under the race detector.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -135,6 +135,21 @@
 	return s
 }
 
+// listKept waits for the engine list in the state folder and returns its path. Danger: a dispatcher is ready
+// with its first list, and keeps it after that.
+func (p *place) listKept(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(p.dir, "state", "list")
+	for begin := time.Now(); ; time.Sleep(time.Millisecond) {
+		if _, err := os.Stat(path); err == nil {
+			return path
+		}
+		if time.Since(begin) > 5*time.Second {
+			t.Fatal("the engine list is not kept")
+		}
+	}
+}
+
 // wait waits until the log says something.
 func (s *service) wait(t *testing.T, what string) {
 	t.Helper()
@@ -556,7 +571,7 @@
 	f.close()
 	a.wait(t, "was=\"handing over\" is=ready")
 	p.rig.Roster.Away(true) // an heir that gets no list gives up by itself
-	if err := os.Rename(filepath.Join(p.dir, "state", "list"), filepath.Join(p.dir, "list")); err != nil {
+	if err := os.Rename(p.listKept(t), filepath.Join(p.dir, "list")); err != nil {
 		t.Fatal(err)
 	}
 	o, _ := p.options(t, "", true)
@@ -594,6 +609,7 @@
 	time.Sleep(50 * time.Millisecond)
 	// A death, as the folder sees it: a copy taken while it runs.
 	copyTo := t.TempDir()
+	p.listKept(t)
 	for _, name := range []string{"state", "list"} {
 		b, err := os.ReadFile(filepath.Join(p.dir, "state", name))
 		if err != nil {
