A query is asked about in time however few descriptors there are; clients' state is pure

Need: who waits for a connection got one as it came, and idle ones went first to who waited for their compute node (pool.go, serveWaiting): a query on a compute node without an idle connection could wait past the 2 s after which it is dropped there. A probe without a descriptor counted as an engine that is not there. What a client's message means, what is open and who may answer stood among the sockets, under three locks. Change: internal/slots decides under a hand-driven clock (due times, reserve for probes and DELETEs), pool.go is its shell; internal/thriftfront holds the state of all client connections, front.go is its shell. A connection whose answer is handed out but not yet written can't be the one that makes room any more. Seen: TestNoneForgotten fails without the eviction for pressing calls (query 62 of 74 not asked for 2.005 s).

--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -18,6 +18,7 @@
 	wayMost    = 350 * time.Millisecond // ...and at most: doubled after each that did not come
 	forgotten  = 2 * time.Second        // after which a compute node gives up what nobody asks for
 	overtime   = 100 * time.Millisecond // on top of forgotten, for a clock that is not ours
+	turn       = time.Second            // of those that start or ask, the first to come has a turn
 	againFirst = 10 * time.Millisecond  // before a call is made again, from the second on, doubled each time
 	againMost  = 160 * time.Millisecond
 	quickNews  = 3                     // answers without an end that may come at once, one after another
@@ -66,6 +67,7 @@
 	Type        StepType
 	Page        int
 	Fresh       bool
+	Due         time.Duration // by when it is to be made, where there are fewer connections than calls
 	Pause, Wait time.Duration
 	Until       time.Duration
 	Outcome     cresspass.Outcome
@@ -99,7 +101,7 @@
 	switch {
 	case ev.Type == Begin:
 		m.begun = now
-		return Step{Type: Start, Wait: newsAfter + patience(0)}
+		return Step{Type: Start, Due: now + turn, Wait: newsAfter + patience(0)}
 	case m.leaving: // a call that gives it up is no question
 	case ev.Type == Answered, ev.Type == Broken:
 		m.posted, m.asked = true, now
@@ -180,9 +182,12 @@
 
 func (m *Machine) ask(fresh bool, pause time.Duration, n Note) Step {
 	m.calledAt += pause
-	s := Step{Type: Ask, Page: len(m.pages), Fresh: fresh, Pause: pause, Wait: patience(m.bad), Note: n}
+	s := Step{Type: Ask, Page: len(m.pages), Fresh: fresh, Pause: pause, Wait: patience(m.bad), Note: n,
+		Due: m.calledAt}
 	if s.Page == 0 {
 		s.Wait += newsAfter
+		// Danger: what nobody asks for is dropped, and those that are to start must not keep it waiting.
+		s.Due = min(m.calledAt+turn, m.asked+forgotten-wayMost)
 	}
 	return s
 }
@@ -194,7 +199,7 @@
 	if !m.posted {
 		return Step{Type: End, Outcome: outcome}
 	}
-	return Step{Type: Delete, Wait: patience(0), Until: m.until()}
+	return Step{Type: Delete, Due: m.calledAt, Wait: patience(0), Until: m.until()}
 }
 
 // until is when the compute node has given up by itself what nobody asked for.
@@ -208,9 +213,8 @@
 		return Step{Type: End, Outcome: m.outcome}
 	}
 	m.bad++
-	return Step{Type: Delete, Fresh: true, Pause: min(againFirst<<min(m.bad-1, 8), againMost),
-		Wait:  patience(m.bad),
-		Until: m.until()}
+	return Step{Type: Delete, Fresh: true, Due: now, Pause: min(againFirst<<min(m.bad-1, 8), againMost),
+		Wait: patience(m.bad), Until: m.until()}
 }
 
 // patience is how long an answer that is due may take, after so many in a row that did not come. Danger: an
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -11,15 +11,19 @@
 	"cresspass"
 	"cresspass/internal/computenode"
 	"cresspass/internal/nodehttp"
+	"cresspass/internal/thriftfront"
 )
 
-// probeWait is how long an answer to a probe may take.
-const probeWait = 350 * time.Millisecond
+// Of probes.
+const (
+	probeWait  = 350 * time.Millisecond // for the answer
+	probeAgain = 20 * time.Millisecond  // before a descriptor is asked for again
+)
 
 // attempt is one query on one compute node: the shell of a computenode.Machine.
 type attempt struct {
 	s      *service
-	q      *ask
+	q      *thriftfront.Request
 	number int
 	engine cresspass.EngineID
 	addr   string
@@ -70,7 +74,7 @@
 			c = nil
 		}
 	}
-	ev := cresspass.Event{Type: cresspass.AttemptDone, Query: a.q.id, Attempt: a.number, Engine: a.engine}
+	ev := cresspass.Event{Type: cresspass.AttemptDone, Query: a.q.ID, Attempt: a.number, Engine: a.engine}
 	now := func() time.Duration { return time.Since(a.begun) }
 	stopSeen := false
 	step := m.Next(now(), computenode.Event{Type: computenode.Begin})
@@ -106,7 +110,7 @@
 	release(true)
 	ev.Outcome, ev.Took = step.Outcome, now()
 	if step.Outcome == cresspass.OK {
-		ev.Finished = a.q.serve(step.Pages)
+		ev.Finished = a.s.front.serve(a.q.ID, step.Pages)
 	}
 	a.cancel()
 	a.s.ended(a, ev.Outcome)
@@ -124,7 +128,8 @@
 	sleep(ctx, step.Pause)
 	if c == nil {
 		var err error
-		if c, err = a.s.pool.get(ctx, a.engine, a.addr, step.Fresh); err != nil {
+		w := want{a.engine, a.addr, step.Fresh, step.Type == computenode.Delete, a.begun.Add(step.Due)}
+		if c, err = a.s.pool.get(ctx, w); err != nil {
 			return computenode.Event{Type: unreached(err)}, nil
 		}
 	}
@@ -151,12 +156,12 @@
 
 // call makes a step's call.
 func (a *attempt) call(step computenode.Step, c *nodeConn) (*nodehttp.Answer, error) {
-	path := "/x/" + a.q.ticket
+	path := "/x/" + a.q.Ticket
 	switch step.Type {
 	case computenode.Start:
 		left := max(time.Until(a.until).Milliseconds(), 1)
-		return c.call(step.Wait, "POST", "/x", a.q.body, "X-Ticket", a.q.ticket,
-			"X-Queue", a.q.class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.nonce,
+		return c.call(step.Wait, "POST", "/x", a.q.Body, "X-Ticket", a.q.Ticket,
+			"X-Queue", a.q.Class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.Nonce,
 			"Grant-Mb", a.grant, "Rank", a.rank)
 	case computenode.Delete:
 		return c.call(step.Wait, "DELETE", path, nil)
@@ -191,7 +196,7 @@
 // note passes a note on.
 func (a *attempt) note(n computenode.Note) {
 	if n.Type != 0 {
-		a.s.loop.Post(cresspass.Event{Type: cresspass.Progress, Query: a.q.id, Attempt: a.number,
+		a.s.loop.Post(cresspass.Event{Type: cresspass.Progress, Query: a.q.ID, Attempt: a.number,
 			Engine: a.engine, Note: n.Type, Value: n.Value})
 	}
 }
@@ -199,14 +204,20 @@
 // probe asks a compute node for its load, or whether it is there.
 func (s *service) probe(engine cresspass.EngineID, addr string) {
 	ev := cresspass.Event{Type: cresspass.ProbeDone, Engine: engine, Outcome: cresspass.TimedOut}
-	begun := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), s.cfg.ConnectTimeout+probeWait)
-	defer cancel()
 	path := "/ping"
 	if len(s.reportFields) > 0 {
 		path = "/load"
 	}
-	c, err := s.pool.get(ctx, engine, addr, false)
+	var c *nodeConn
+	begun, err := time.Now(), errNoSlot
+	for ; errors.Is(err, errNoSlot); sleep(s.watch.life, probeAgain) {
+		// Danger: that there is no descriptor tells nothing of the compute node, which would be shunned.
+		begun = time.Now()
+		c, err = s.pool.get(s.watch.life, want{engine: engine, addr: addr, spare: true, due: begun})
+		if err == nil || s.watch.life.Err() != nil {
+			break
+		}
+	}
 	if err != nil {
 		ev.Outcome = cresspass.ConnectFailed
 	} else {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -13,6 +13,7 @@
 
 	"cresspass"
 	"cresspass/internal/thrift"
+	"cresspass/internal/thriftfront"
 )
 
 const (
@@ -21,7 +22,6 @@
 	frameWithin = 2 * time.Second        // from a message's first byte to its last
 	idleMost    = 15 * time.Second       // between messages; clients close after 4 s
 	writeWithin = 2 * time.Second        // until a client takes what was written
-	openMost    = 32                     // requests open on a connection (PROTOCOL)
 	outMost     = 4 << 20                // bytes that wait for a client that doesn't read
 	readStep    = 8 << 10                // a message grows by this, so that a told length alone costs nothing
 	readAhead   = 1 << 10                // bytes read at once: mostly a whole message
@@ -29,29 +29,19 @@
 	lingerFor   = 200 * time.Millisecond // for a last answer to be taken before a connection is closed
 )
 
-// ask is a client's request.
-type ask struct {
-	terms
-	id    cresspass.QueryID
-	seq   int32
-	c     *client
-	until time.Time
-}
-
-// client is a connection of a client.
+// client is a connection of a client: the shell of what thriftfront.Book knows of it.
 type client struct {
 	f   *front
+	id  thriftfront.ConnID
 	net net.Conn
 	raw syscall.RawConn
 	in  *bufio.Reader
 
 	mu       sync.Mutex
-	open     map[int32]*ask
 	out      []byte
+	messages int // in out, or being written
 	flushing bool
 	ending   bool // closed once out is written
-	spoke    bool // a whole message came
-	last     time.Time
 }
 
 // front takes clients' connections.
@@ -61,7 +51,14 @@
 	budget *budget
 
 	mu    sync.Mutex
-	conns map[*client]struct{}
+	book  *thriftfront.Book
+	conns map[thriftfront.ConnID]*client
+	last  thriftfront.ConnID
+}
+
+func newFront(s *service, ln net.Listener, b *budget) *front {
+	return &front{s: s, ln: ln, budget: b, book: thriftfront.New(&s.cfg.Module),
+		conns: map[thriftfront.ConnID]*client{}}
 }
 
 func (f *front) run() {
@@ -75,8 +72,7 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		cl := &client{f: f, net: c, in: bufio.NewReaderSize(c, readAhead), open: map[int32]*ask{},
-			last: time.Now()}
+		cl := &client{f: f, net: c, in: bufio.NewReaderSize(c, readAhead)}
 		if sc, ok := c.(syscall.Conn); ok {
 			cl.raw, _ = sc.SyscallConn()
 		}
@@ -87,57 +83,47 @@
 			continue
 		}
 		f.mu.Lock()
-		f.conns[cl] = struct{}{}
-		f.budget.clients.Store(int32(len(f.conns)))
+		f.last++
+		cl.id = f.last
+		f.conns[cl.id] = cl
+		f.book.Connect(time.Now(), cl.id)
+		f.budget.clients.Store(int32(f.book.Size()))
 		f.mu.Unlock()
 		go cl.read()
 	}
 }
 
 // crowded closes a connection to make room. It reports whether there was one that could go.
-func (f *front) crowded(muteFor time.Duration) bool {
-	now := time.Now()
+func (f *front) crowded(mute time.Duration) bool {
 	f.mu.Lock()
-	conns, states := make([]*client, 0, len(f.conns)), make([]seen, 0, len(f.conns))
-	for c := range f.conns {
-		c.mu.Lock()
-		conns = append(conns, c)
-		states = append(states, seen{c.busy() || c.ending, c.spoke, now.Sub(c.last)})
-		c.mu.Unlock()
-	}
-	i := victim(states, muteFor)
-	if i >= 0 {
-		f.forget(conns[i])
+	id, ok := f.book.Victim(time.Now(), mute)
+	c := f.conns[id]
+	if ok {
+		f.forget(id)
 	}
 	f.mu.Unlock()
-	if i < 0 {
+	if !ok {
 		return false
 	}
 	f.s.shut.Add(1)
-	conns[i].net.Close()
+	c.net.Close()
 	return true
 }
 
-// forget takes a connection out of the books.
-func (f *front) forget(c *client) {
-	delete(f.conns, c)
-	f.budget.clients.Store(int32(len(f.conns)))
+// forget takes a connection out of the books and returns what was open on it. f.mu is held.
+func (f *front) forget(id thriftfront.ConnID) []*thriftfront.Request {
+	delete(f.conns, id)
+	open := f.book.Closed(id)
+	f.budget.clients.Store(int32(f.book.Size()))
+	return open
 }
 
-// busy reports whether a request is open, or an answer on its way. Danger: what the flushing goroutine has
-// taken to write stands in out no more.
-func (c *client) busy() bool { return len(c.open) > 0 || c.flushing }
-
 // closeIdle closes the connections on which nothing is open.
 func (f *front) closeIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.conns {
-		c.mu.Lock()
-		if !c.busy() {
-			c.net.Close()
-		}
-		c.mu.Unlock()
+	for _, id := range f.book.Unused() {
+		f.conns[id].net.Close()
 	}
 }
 
@@ -145,7 +131,7 @@
 func (f *front) closeAll() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for c := range f.conns {
+	for _, c := range f.conns {
 		c.net.Close()
 	}
 }
@@ -153,7 +139,21 @@
 func (f *front) size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.conns)
+	return f.book.Size()
+}
+
+// open returns how many requests have no answer yet.
+func (f *front) open() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Open()
+}
+
+// get returns a request that has no answer yet; nil: there is none of that id.
+func (f *front) get(id cresspass.QueryID) *thriftfront.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Get(id)
 }
 
 // read takes the client's messages until its connection ends.
@@ -200,117 +200,35 @@
 
 // take handles a message. It returns false where the connection can't be read any further.
 func (c *client) take(frame []byte) bool {
-	q, err := thrift.ParseRequest(frame)
-	c.mu.Lock()
-	c.spoke, c.last = true, time.Now()
-	ending := c.ending
-	c.mu.Unlock()
-	switch {
-	case err != nil && q.Name == "", ending:
-		return false
-	case err != nil:
-		c.send(thrift.AppendException(nil, q.Name, q.Seq, 7, err.Error()))
-		return false
-	case q.Type != thrift.Call && q.Type != thrift.Oneway:
-		return false
-	}
-	switch q.Name {
-	case "dispatch":
-		c.dispatch(&q)
-	case "cancelRequest":
-		c.takeBack(q.Number)
-	case "alive":
-		c.send(thrift.AppendAnswer(nil, q.Name, q.Seq, c.f.s.ready()))
-	default:
-		c.send(thrift.AppendException(nil, q.Name, q.Seq, 1, "unknown method"))
-	}
-	return true
-}
-
-// appendFault adds the answer to a request that is itself at fault.
-func appendFault(b []byte, seq int32, reason string) []byte {
-	return thrift.AppendRaised(b, "dispatch", seq, thrift.Fault, [2]string{"reason", reason})
-}
-
-// dispatch takes a request, or says why it can't be taken.
-func (c *client) dispatch(r *thrift.Request) {
-	if err := c.admit(r); err != nil {
-		c.f.s.unread.Add(1)
-		c.send(appendFault(nil, r.Seq, err.Error()))
-	}
-}
-
-func (c *client) admit(r *thrift.Request) error {
 	s := c.f.s
-	ev, t, err := s.reader.read(r)
-	if err != nil {
-		return err
-	}
-	q := &ask{terms: t, seq: r.Seq, c: c, until: time.Now().Add(ev.TimeLeft)}
-	q.body = append([]byte(nil), t.body...)
-	c.mu.Lock()
-	switch {
-	case c.open[r.Seq] != nil:
-		err = errors.New("this number is open already")
-	case len(c.open) >= openMost:
-		err = errors.New("too many requests open on this connection")
-	case !s.admit(q):
-		err = errors.New("txn is open already")
-	default:
-		c.open[r.Seq] = q
-	}
-	c.mu.Unlock()
-	if err != nil {
-		return err
+	c.f.mu.Lock()
+	v := c.f.book.Message(time.Now(), c.id, frame)
+	if v.Taken != nil { // posted under the lock: what its client takes back at once must come after it
+		s.loop.Post(v.Event)
 	}
-	ev.Query = q.id
-	s.loop.Post(ev)
-	return nil
-}
-
-// claim takes the right to answer a request: it has one answer at most.
-func (c *client) claim(q *ask) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.open[q.seq] != q {
-		return false
+	c.f.mu.Unlock()
+	if v.Bad {
+		s.unread.Add(1)
 	}
-	delete(c.open, q.seq)
-	return true
-}
-
-// takeAll takes the right to answer all that is open.
-func (c *client) takeAll() (open []*ask) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, q := range c.open {
-		open = append(open, q)
+	if v.Say != nil {
+		c.send(v.Say, 1)
 	}
-	clear(c.open)
-	return open
-}
-
-// takeBack ends a request for which its client waits no longer.
-func (c *client) takeBack(seq int32) {
-	c.mu.Lock()
-	q := c.open[seq]
-	delete(c.open, seq)
-	c.mu.Unlock()
-	if q != nil {
-		c.f.s.gone(q)
+	if v.Back != nil {
+		s.gone(v.Back)
 	}
+	return !v.End
 }
 
-// send writes without waiting for the client.
-func (c *client) send(b []byte) {
+// send writes so many messages without waiting for the client.
+func (c *client) send(b []byte, messages int) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.messages += messages
 	if len(c.out)+len(b) > outMost {
 		c.ending = true
 		c.net.Close()
+		c.mu.Unlock()
 		return
 	}
-	c.last = time.Now()
 	if !c.flushing && len(c.out) == 0 && c.raw != nil {
 		// Danger: a writer's goroutine waits for the core behind all others, and answers come too late when
 		// it is full. What the socket takes at once is written here.
@@ -322,9 +240,25 @@
 		})
 	}
 	c.out = append(c.out, b...)
-	if !c.flushing && len(c.out) > 0 {
+	written := 0
+	switch {
+	case c.flushing:
+	case len(c.out) > 0:
 		c.flushing = true
 		go c.flush()
+	default:
+		written, c.messages = c.messages, 0
+	}
+	c.mu.Unlock()
+	c.written(written)
+}
+
+// written tells the book of messages that have left.
+func (c *client) written(n int) {
+	if n > 0 {
+		c.f.mu.Lock()
+		c.f.book.Written(time.Now(), c.id, n)
+		c.f.mu.Unlock()
 	}
 }
 
@@ -335,9 +269,11 @@
 		c.out = nil
 		if len(b) == 0 {
 			c.flushing = false
-			ending := c.ending
+			ending, n := c.ending, c.messages
+			c.messages = 0
 			c.net.SetWriteDeadline(time.Time{})
 			c.mu.Unlock()
+			c.written(n)
 			if ending {
 				c.net.Close()
 			}
@@ -354,13 +290,16 @@
 // garbage ends a connection whose bytes can't be read: what is open on it is answered first.
 func (c *client) garbage() {
 	c.f.s.unread.Add(1)
+	c.f.mu.Lock()
+	open := c.f.book.Spoilt(c.id)
+	c.f.mu.Unlock()
 	var b []byte
-	for _, q := range c.takeAll() {
-		b = appendFault(b, q.seq, "the connection can't be read")
+	for _, q := range open {
+		b = append(b, thriftfront.Fault(q.Seq, "the connection can't be read")...)
 		c.f.s.gone(q)
 	}
-	if len(b) > 0 {
-		c.send(b)
+	if len(open) > 0 {
+		c.send(b, len(open))
 	}
 	time.Sleep(acceptPause) // for the last answer to leave
 }
@@ -368,9 +307,8 @@
 // over ends what is open on a connection that ended.
 func (c *client) over() {
 	c.f.mu.Lock()
-	c.f.forget(c)
+	open := c.f.forget(c.id)
 	c.f.mu.Unlock()
-	open := c.takeAll()
 	c.mu.Lock()
 	c.ending = true
 	flushing := c.flushing
@@ -385,25 +323,32 @@
 	}
 }
 
-// serve gives a request its result. It returns false where the request has ended already.
-func (q *ask) serve(pages [][]byte) bool {
-	if !q.c.claim(q) {
-		return false
+// answer writes a request's one answer. It returns false where the request has ended already.
+func (f *front) answer(id cresspass.QueryID, message func(seq int32) []byte) bool {
+	f.mu.Lock()
+	to, ok := f.book.Answer(time.Now(), id)
+	c := f.conns[to.Conn]
+	f.mu.Unlock()
+	if ok {
+		c.send(message(to.Seq), 1)
 	}
-	q.c.send(thrift.AppendAnswer(nil, "dispatch", q.seq, true, pages...))
-	q.c.f.s.closed(q)
-	return true
+	return ok
+}
+
+// serve gives a request its result.
+func (f *front) serve(id cresspass.QueryID, pages [][]byte) bool {
+	return f.answer(id, func(seq int32) []byte {
+		return thrift.AppendAnswer(nil, "dispatch", seq, true, pages...)
+	})
 }
 
 // raise ends a request without a result; later is the come-back time of a refusal, 0: none.
-func (q *ask) raise(which uint16, later time.Duration) {
-	if !q.c.claim(q) {
-		return
-	}
-	var fields [][2]string
-	if later > 0 {
-		fields = append(fields, [2]string{"later", strconv.FormatInt(later.Milliseconds(), 10)})
-	}
-	q.c.send(thrift.AppendRaised(nil, "dispatch", q.seq, which, fields...))
-	q.c.f.s.closed(q)
+func (f *front) raise(id cresspass.QueryID, which uint16, later time.Duration) {
+	f.answer(id, func(seq int32) []byte {
+		var fields [][2]string
+		if later > 0 {
+			fields = append(fields, [2]string{"later", strconv.FormatInt(later.Milliseconds(), 10)})
+		}
+		return thrift.AppendRaised(nil, "dispatch", seq, which, fields...)
+	})
 }
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -210,28 +210,6 @@
 	usual.net.Write(thrift.AppendCancel(nil, usual.next+1, held))
 }
 
-// TestVictim: a crowd of connections that say nothing drives out neither a client that just connected nor
-// one with a request open.
-func TestVictim(t *testing.T) {
-	ms := time.Millisecond
-	for name, c := range map[string]struct {
-		conns []seen
-		want  int
-	}{
-		"mute for long": {[]seen{{spoke: true, silent: 3e3 * ms}, {silent: 600 * ms}, {silent: 900 * ms}}, 2},
-		"just made":     {[]seen{{silent: ms}, {spoke: true, silent: ms}, {spoke: true, silent: 9 * ms}}, 2},
-		"open":          {[]seen{{busy: true, silent: 9e3 * ms}, {spoke: true, silent: ms}}, 1},
-		"none can go":   {[]seen{{busy: true, spoke: true}, {silent: 499 * ms}}, -1},
-	} {
-		if got := victim(c.conns, muteFor); got != c.want {
-			t.Errorf("%s: %d, want %d", name, got, c.want)
-		}
-	}
-	if c := (&client{flushing: true}); !c.busy() { // what is being written stands nowhere else
-		t.Error("a connection whose answer is being written counts as idle")
-	}
-}
-
 // TestManyClients: connections that say nothing make room for those that ask.
 func TestManyClients(t *testing.T) {
 	r := newRig(t, 64)
@@ -275,8 +253,8 @@
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	most := r.pool.budget.nodes()
-	if r.pool.open > most || len(r.pool.wait) != 0 || r.pool.dials > asks*2/3 {
-		t.Errorf("%d open of %d, %d wait, %d dials", r.pool.open, most, len(r.pool.wait), r.pool.dials)
+	if b := r.pool.book; b.Open() > most || b.Waiting() != 0 || r.pool.dials > asks*2/3 {
+		t.Errorf("%d open of %d, %d wait, %d dials", b.Open(), most, b.Waiting(), r.pool.dials)
 	}
 }
 
@@ -351,7 +329,11 @@
 	a.ask(fields(ticket(1), "quick", "60000"))
 	within(t, "the query is sent", func() bool { return r.node.count("POST") == 1 })
 	signals <- syscall.SIGTERM
-	within(t, "it is leaving", func() bool { return !r.ready() })
+	within(t, "it is leaving", func() bool {
+		r.front.mu.Lock()
+		defer r.front.mu.Unlock()
+		return r.front.book.Leaving()
+	})
 	r.dial().served(2, 1)
 	if h := a.hear(); h.kind != "shed" {
 		t.Errorf("the open request: %+v", h)
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -5,13 +5,13 @@
 	"context"
 	"errors"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"cresspass"
 	"cresspass/internal/nodehttp"
+	"cresspass/internal/slots"
 )
 
 // restFor is how long a connection is left alone after an answer. Danger: a compute node may send a second
@@ -29,6 +29,7 @@
 
 // nodeConn is a connection to a compute node, for one call at a time.
 type nodeConn struct {
+	number uint64 // in the pool's book
 	engine cresspass.EngineID
 	addr   string
 	net    net.Conn
@@ -90,262 +91,207 @@
 	return a, err
 }
 
-// pool holds the connections to all compute nodes, bounded together.
+// pool holds the connections to all compute nodes: the shell of a slots.Book.
 type pool struct {
 	budget  *budget
 	connect time.Duration // time-out
-	idle    time.Duration
+	zero    time.Time     // of the book's clock
 
-	mu                     sync.Mutex
-	free                   map[cresspass.EngineID][]*nodeConn // oldest first
-	open                   int
-	wait                   []*waiter
-	settle                 bool // a look at who waits is due
-	dials, reused, crowded uint64
+	mu            sync.Mutex
+	book          *slots.Book
+	idle          map[uint64]*nodeConn
+	wait          map[uint64]chan slots.Grant
+	last          uint64      // number of a connection or a want
+	settle        *time.Timer // of the book's next look
+	closed        bool
+	dials, reused uint64
+	crowded       uint64
+	longest       time.Duration // that anyone waited in line
 }
 
 func newPool(b *budget, connect, idle time.Duration) *pool {
-	return &pool{budget: b, connect: connect, idle: time.Duration(sparse * float64(idle)),
-		free: map[cresspass.EngineID][]*nodeConn{}}
+	p := &pool{budget: b, connect: connect, zero: time.Now(), idle: map[uint64]*nodeConn{},
+		book: slots.New(restFor, time.Duration(sparse*float64(idle))), wait: map[uint64]chan slots.Grant{}}
+	p.settle = time.AfterFunc(time.Hour, p.sweep)
+	return p
+}
+
+func (p *pool) now() time.Duration { return time.Since(p.zero) }
+
+func (p *pool) limits() slots.Limits {
+	return slots.Limits{Room: p.budget.nodes(), Spare: p.budget.headroom / 2}
+}
+
+// want is a call that needs a connection.
+type want struct {
+	engine cresspass.EngineID
+	addr   string
+	fresh  bool      // on a new connection
+	spare  bool      // short and pressing
+	due    time.Time // when it is needed at the latest
 }
 
 // get returns a connection to a compute node: one that rests since long enough, else a new one, for which
 // it waits where there are too many.
-func (p *pool) get(ctx context.Context, engine cresspass.EngineID, addr string,
-	fresh bool) (*nodeConn, error) {
-	p.mu.Lock()
-	now := time.Now()
-	if !fresh {
-		if c := p.take(engine, now); c != nil {
-			p.reused++
-			p.mu.Unlock()
+func (p *pool) get(ctx context.Context, w want) (*nodeConn, error) {
+	for {
+		g, err := p.ask(ctx, w)
+		if err != nil {
+			return nil, err
+		}
+		if g.Type == slots.Dial {
+			return p.dial(ctx, w)
+		}
+		p.mu.Lock()
+		c := p.idle[g.Conn]
+		delete(p.idle, g.Conn)
+		p.reused++
+		p.mu.Unlock()
+		if c.usable() {
 			return c, nil
 		}
+		p.put(c, false) // closed by its compute node, or it said more than it was asked
 	}
-	if p.open >= p.budget.nodes() {
-		p.evict(now)
-	}
-	if p.open < p.budget.nodes() {
-		p.open++
-		p.mu.Unlock()
-	} else {
+}
+
+// ask waits for a grant.
+func (p *pool) ask(ctx context.Context, w want) (slots.Grant, error) {
+	got := make(chan slots.Grant, 1)
+	p.mu.Lock()
+	p.last++
+	id := p.last
+	p.wait[id] = got
+	begun := p.now()
+	p.do(p.book.Ask(begun, slots.Want{ID: id, Engine: w.engine, Fresh: w.fresh, Spare: w.spare,
+		Due: w.due.Sub(p.zero)}, p.limits()))
+	if p.wait[id] != nil {
 		p.crowded++
-		w := &waiter{engine: engine, got: make(chan *nodeConn, 1)}
-		p.wait = append(p.wait, w)
-		p.settleSoon()
-		p.mu.Unlock()
-		select {
-		case c := <-w.got:
-			if c != nil {
-				return c, nil
-			}
-		case <-ctx.Done():
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			if i := slices.Index(p.wait, w); i >= 0 {
-				p.wait = slices.Delete(p.wait, i, i+1)
-			} else if c := <-w.got; c != nil {
-				p.keep(c)
-			} else {
-				p.release()
-			}
-			return nil, errNoSlot
-		}
 	}
-	d := net.Dialer{Timeout: p.connect, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", addr)
-	var raw syscall.RawConn
-	if err == nil {
-		raw, err = c.(*net.TCPConn).SyscallConn()
+	p.mu.Unlock()
+	select {
+	case g := <-got:
+		return g, nil
+	default:
+	}
+	select {
+	case g := <-got:
+		p.mu.Lock()
+		p.longest = max(p.longest, p.now()-begun)
+		p.mu.Unlock()
+		return g, nil
+	case <-ctx.Done():
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.dials++
-	if err != nil {
-		p.release()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			return nil, errNoSlot // danger: it tells nothing of the compute node
+	delete(p.wait, id)
+	if !p.book.Leave(id) { // the grant crossed
+		switch g := <-got; g.Type {
+		case slots.Reuse:
+			c := p.idle[g.Conn]
+			delete(p.idle, g.Conn)
+			p.rest(c)
+		case slots.Dial:
+			p.do(p.book.Gone(p.limits()))
 		}
-		return nil, err
-	}
-	return &nodeConn{engine: engine, addr: addr, net: c, raw: raw, in: bufio.NewReaderSize(c, 4096)}, nil
-}
-
-// waiter waits for a connection to a compute node.
-type waiter struct {
-	engine cresspass.EngineID
-	got    chan *nodeConn // one that has rested, or nil: a new one may be made
-}
-
-// release gives a slot back, to who waits first.
-func (p *pool) release() {
-	if len(p.wait) > 0 && p.open <= p.budget.nodes() {
-		w := p.wait[0]
-		p.wait = slices.Delete(p.wait, 0, 1)
-		w.got <- nil
-		return
-	}
-	p.open--
-}
-
-// keep makes a connection idle. Danger: while descriptors are short, closing it so that another may be made
-// would spend the core on handshakes; who waits for its compute node gets it once it has rested.
-func (p *pool) keep(c *nodeConn) {
-	p.free[c.engine] = append(p.free[c.engine], c)
-	if len(p.wait) > 0 {
-		p.settleSoon()
-	}
-}
-
-// settleSoon has who waits served from what will have rested by then.
-func (p *pool) settleSoon() {
-	if !p.settle {
-		p.settle = true
-		time.AfterFunc(restFor, func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.settle = false
-			p.serveWaiting(time.Now())
-		})
 	}
+	return slots.Grant{}, errNoSlot
 }
 
-// serveWaiting gives idle connections that have rested to those who wait for their compute nodes, in turn;
-// what is left makes room for the others.
-func (p *pool) serveWaiting(now time.Time) {
-	for i := 0; i < len(p.wait); {
-		w := p.wait[i]
-		if c := p.take(w.engine, now); c != nil {
-			p.reused++
-			p.wait = slices.Delete(p.wait, i, i+1)
-			w.got <- c
+// do carries out grants. p.mu is held.
+func (p *pool) do(grants []slots.Grant) {
+	for _, g := range grants {
+		if g.Type == slots.Close {
+			p.idle[g.Conn].net.Close()
+			delete(p.idle, g.Conn)
 			continue
 		}
-		i++
+		p.wait[g.Want] <- g
+		delete(p.wait, g.Want)
 	}
-	for len(p.wait) > 0 && p.evict(now) {
-	}
-	if len(p.wait) > 0 && len(p.free) > 0 {
-		p.settleSoon()
+	if at, ok := p.book.Next(); ok && !p.closed {
+		p.settle.Reset(max(at-p.now(), 0))
 	}
 }
 
-// take takes the youngest idle connection to a compute node that has rested and is silent; nil: there is
-// none.
-func (p *pool) take(engine cresspass.EngineID, now time.Time) *nodeConn {
-	for {
-		list := p.free[engine]
-		i := len(list) - 1
-		for i >= 0 && now.Sub(list[i].rested) < restFor {
-			i--
-		}
-		if i < 0 {
-			return nil
-		}
-		c := list[i]
-		p.remove(engine, i)
-		if c.usable() && now.Sub(c.rested) < p.idle {
-			return c
-		}
-		p.close(c)
-	}
-}
-
-func (p *pool) remove(engine cresspass.EngineID, i int) {
-	list := p.free[engine]
-	copy(list[i:], list[i+1:])
-	list[len(list)-1] = nil
-	if list = list[:len(list)-1]; len(list) == 0 {
-		delete(p.free, engine)
-	} else {
-		p.free[engine] = list
+// dial makes a connection that was granted.
+func (p *pool) dial(ctx context.Context, w want) (*nodeConn, error) {
+	d := net.Dialer{Timeout: p.connect, KeepAlive: -1}
+	c, err := d.DialContext(ctx, "tcp", w.addr)
+	var raw syscall.RawConn
+	if err == nil {
+		raw, err = c.(*net.TCPConn).SyscallConn()
 	}
-}
-
-func (p *pool) close(c *nodeConn) {
-	c.net.Close()
-	p.release()
-}
-
-// evict closes the connection that has been idle for longest and has rested. It reports whether there was
-// one. Danger: by a later reading of the clock than take's, it would close what one who waits is about to
-// be given.
-func (p *pool) evict(now time.Time) bool {
-	var oldest *nodeConn
-	for _, list := range p.free {
-		if oldest == nil || list[0].rested.Before(oldest.rested) {
-			oldest = list[0]
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dials++
+	if err != nil {
+		p.do(p.book.Gone(p.limits()))
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			return nil, errNoSlot // danger: it tells nothing of the compute node
 		}
+		return nil, err
 	}
-	if oldest == nil || now.Sub(oldest.rested) < restFor {
-		return false
-	}
-	p.remove(oldest.engine, 0)
-	p.close(oldest)
-	return true
+	p.last++
+	return &nodeConn{number: p.last, engine: w.engine, addr: w.addr, net: c, raw: raw,
+		in: bufio.NewReaderSize(c, 4096)}, nil
 }
 
 // put gives a connection back; good: its last answer was whole and leaves it open.
 func (p *pool) put(c *nodeConn, good bool) {
+	good = good && c.usable()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !good || !c.usable() {
-		p.close(c)
+	if good && !p.closed {
+		p.rest(c)
 		return
 	}
-	p.keep(c)
+	c.net.Close()
+	p.do(p.book.Gone(p.limits()))
+}
+
+// rest makes a connection idle. p.mu is held.
+func (p *pool) rest(c *nodeConn) {
+	p.idle[c.number] = c
+	p.book.Rest(p.now(), c.engine, c.number)
+	p.do(nil)
 }
 
 // wanted reports whether somebody waits for a connection.
 func (p *pool) wanted() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.wait) > 0
+	return p.book.Waiting() > 0
 }
 
 // closeIdle closes the idle connections to a compute node.
 func (p *pool) closeIdle(engine cresspass.EngineID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.free[engine] {
-		p.close(c)
-	}
-	delete(p.free, engine)
+	p.do(p.book.Drop(engine, p.limits()))
 }
 
-// closeAll closes all idle connections; the pool is not used any more.
+// closeAll closes all idle connections; the pool keeps none any more.
 func (p *pool) closeAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, list := range p.free {
-		for _, c := range list {
-			p.close(c)
-		}
+	p.closed = true
+	p.settle.Stop()
+	for _, c := range p.idle {
+		p.do(p.book.Drop(c.engine, p.limits()))
 	}
-	clear(p.free)
 }
 
 func (p *pool) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open
+	return p.book.Open()
 }
 
-// sweep closes what has been idle for too long.
+// sweep closes what has been idle for too long and looks at who waits.
 func (p *pool) sweep() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	for p.open < p.budget.nodes() && len(p.wait) > 0 { // clients left some
-		p.open++
-		p.release()
-	}
-	for engine, list := range p.free {
-		for len(list) > 0 && now.Sub(list[0].rested) >= p.idle {
-			c := list[0]
-			p.remove(engine, 0)
-			p.close(c)
-			list = p.free[engine]
-		}
+	if !p.closed {
+		p.do(p.book.Settle(p.now(), p.limits()))
 	}
 }
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -20,6 +20,7 @@
 	"cresspass/internal/board"
 	"cresspass/internal/dispatch"
 	"cresspass/internal/thrift"
+	"cresspass/internal/thriftfront"
 )
 
 const (
@@ -39,18 +40,13 @@
 	log          *slog.Logger
 	clock        dispatch.Clock
 	loop         *dispatch.Loop
-	reader       reader
 	reportFields []string
 	pool         *pool
 	front        *front
 	watch        *watcher
 
 	mu       sync.Mutex
-	asks     map[cresspass.QueryID]*ask
-	tickets  map[string]*ask
 	attempts map[attemptKey]*attempt
-	lastID   cresspass.QueryID
-	leaving  bool
 	outcomes map[cresspass.Outcome]uint64 // of attempts
 
 	spoilt, broken, unread, shut atomic.Uint64
@@ -84,9 +80,9 @@
 
 // start brings a dispatcher up. It serves from then on.
 func start(cfg *Config, path string, log *slog.Logger) (*service, error) {
-	s := &service{cfg: cfg, path: path, log: log, clock: dispatch.Monotonic(), reader: newReader(&cfg.Module),
-		reportFields: cfg.Module.ReportFields, asks: map[cresspass.QueryID]*ask{}, tickets: map[string]*ask{},
-		attempts: map[attemptKey]*attempt{}, outcomes: map[cresspass.Outcome]uint64{}}
+	s := &service{cfg: cfg, path: path, log: log, clock: dispatch.Monotonic(),
+		reportFields: cfg.Module.ReportFields, attempts: map[attemptKey]*attempt{},
+		outcomes: map[cresspass.Outcome]uint64{}}
 	core, err := dispatch.NewCore(cfg.Module, s.clock())
 	if err != nil {
 		return nil, err
@@ -116,7 +112,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform: %w", err)
 	}
-	s.front = &front{s: s, ln: ln, budget: b, conns: map[*client]struct{}{}}
+	s.front = newFront(s, ln, b)
 	go s.loop.Run()
 	go s.watch.run()
 	go s.front.run()
@@ -140,9 +136,9 @@
 				continue
 			}
 			s.log.Info("leaving", "signal", sig.String())
-			s.mu.Lock()
-			s.leaving = true
-			s.mu.Unlock()
+			s.front.mu.Lock()
+			s.front.book.Leave()
+			s.front.mu.Unlock()
 			longest := time.Duration(0)
 			for _, c := range s.cfg.Module.Classes {
 				longest = max(longest, c.Deadline)
@@ -159,10 +155,7 @@
 			s.pool.sweep()
 			if end != nil && lastCall == nil {
 				s.front.closeIdle()
-				s.mu.Lock()
-				open := len(s.asks)
-				s.mu.Unlock()
-				if open == 0 && s.front.size() == 0 {
+				if s.front.open() == 0 && s.front.size() == 0 {
 					s.look()
 					return nil
 				}
@@ -192,14 +185,16 @@
 func (s *service) look() {
 	st := s.stats()
 	s.pool.mu.Lock()
-	open, waiting := s.pool.open, len(s.pool.wait)
-	dials, reused, crowded := s.pool.dials, s.pool.reused, s.pool.crowded
+	open, waiting := s.pool.book.Open(), s.pool.book.Waiting()
+	dials, reused, crowded, longest := s.pool.dials, s.pool.reused, s.pool.crowded, s.pool.longest
+	s.pool.longest = 0
 	s.pool.mu.Unlock()
 	s.mu.Lock()
 	ends := fmt.Sprint(s.outcomes)
 	s.mu.Unlock()
 	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(),
 		"nodes", open, "waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded,
+		"longest", longest,
 		"spoilt", s.spoilt.Load(), "broken", s.broken.Load(), "unread", s.unread.Load(),
 		"shut", s.shut.Load(), "lag", s.loop.Lag(),
 		"board", s.watch.asked.Load())
@@ -224,39 +219,9 @@
 	s.pool.closeAll()
 }
 
-func (s *service) ready() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.leaving
-}
-
-// admit takes a request into the books, unless its id is open already.
-func (s *service) admit(q *ask) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.tickets[q.ticket] != nil {
-		return false
-	}
-	s.lastID++
-	q.id = s.lastID
-	s.asks[q.id], s.tickets[q.ticket] = q, q
-	return true
-}
-
-// closed takes a request that has its answer out of the books.
-func (s *service) closed(q *ask) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.asks, q.id)
-	if s.tickets[q.ticket] == q {
-		delete(s.tickets, q.ticket)
-	}
-}
-
 // gone ends a request for which nobody waits.
-func (s *service) gone(q *ask) {
-	s.closed(q)
-	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.id, Outcome: cresspass.Cancelled})
+func (s *service) gone(q *thriftfront.Request) {
+	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.ID, Outcome: cresspass.Cancelled})
 }
 
 // ended takes an attempt out of the books.
@@ -264,14 +229,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes[o]++
-	delete(s.attempts, attemptKey{a.q.id, a.number})
-}
-
-// open returns a request that has no answer yet; nil: there is none of that id.
-func (s *service) open(id cresspass.QueryID) *ask {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.asks[id]
+	delete(s.attempts, attemptKey{a.q.ID, a.number})
 }
 
 // do carries out what the core puts out. It never waits.
@@ -286,13 +244,10 @@
 		if a != nil {
 			a.stop(o.Outcome)
 		}
-	case dispatch.Refuse, dispatch.Fail:
-		if q := s.open(o.Query); q == nil {
-		} else if o.Type == dispatch.Refuse {
-			q.raise(thrift.Shed, o.Wait)
-		} else {
-			q.raise(thrift.Fault, 0)
-		}
+	case dispatch.Refuse:
+		s.front.raise(o.Query, thrift.Shed, o.Wait)
+	case dispatch.Fail:
+		s.front.raise(o.Query, thrift.Fault, 0)
 	case dispatch.Probe:
 		if addr := s.watch.addr(o.Engine); addr != "" {
 			go s.probe(o.Engine, addr)
@@ -309,7 +264,7 @@
 
 // begin starts an attempt.
 func (s *service) begin(o *dispatch.Output) {
-	q, addr := s.open(o.Query), s.watch.addr(o.Engine)
+	q, addr := s.front.get(o.Query), s.watch.addr(o.Engine)
 	if q == nil || addr == "" { // its client has gone, or the compute node
 		outcome := cresspass.Moot
 		if q != nil {
@@ -319,7 +274,7 @@
 			Engine: o.Engine, Outcome: outcome})
 		return
 	}
-	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.until,
+	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.Until,
 		begun: time.Now()}
 	if o.MemoryMB > 0 {
 		a.grant = strconv.FormatInt(int64(math.Ceil(o.MemoryMB)), 10)
--- /dev/null
+++ b/internal/thriftfront/front_test.go
@@ -0,0 +1,193 @@
+package thriftfront
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cresspass"
+	"cresspass/internal/thrift"
+)
+
+var cfg = cresspass.Config{Classes: []cresspass.Class{{Name: "quick"},
+	{Name: "load", Effect: cresspass.Keyed}}}
+
+var zero = time.Unix(1e9, 0)
+
+func ticket(n int) string { return fmt.Sprintf("%016x", n) }
+
+// call is a client's request as the Thrift codec of this repository writes it.
+func call(seq int32, pairs ...string) []byte {
+	var fields [][2]string
+	for i := 0; i < len(pairs); i += 2 {
+		fields = append(fields, [2]string{pairs[i], pairs[i+1]})
+	}
+	return thrift.AppendDispatch(nil, seq, fields, []byte("SELECT a FROM t_3.u"))[thrift.FrameHeader:]
+}
+
+// TestOneEnd: whatever clients send, take back and break off, each request that was taken has one end: it
+// is answered where it was asked, taken back, or ends with its connection. No two that are open share a
+// number on a connection or an id, and no connection is given away that is in use.
+func TestOneEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, now := New(&cfg), zero
+		open := map[cresspass.QueryID]Place{}
+		tickets := map[string]cresspass.QueryID{}
+		unwritten := map[ConnID]int{}
+		alive := map[ConnID]bool{}
+		end := func(q *Request, how string) {
+			if at, ok := open[q.ID]; !ok || at != (Place{q.Conn, q.Seq}) {
+				t.Fatalf("request %d of %+v %s, it is open: %v, at %+v", q.ID, q.Conn, how, ok, at)
+			}
+			delete(open, q.ID)
+			delete(tickets, q.Ticket)
+		}
+		conn := func() ConnID { return ConnID(rapid.IntRange(1, 3).Draw(t, "conn")) }
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			id := conn()
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				if !alive[id] {
+					b.Connect(now, id)
+					alive[id], unwritten[id] = true, 0
+				}
+			case 1, 2, 3, 4:
+				frame := rapid.SampledFrom([][]byte{
+					call(int32(rapid.IntRange(1, 50).Draw(t, "seq")), "verb", "quick", "limit", "100", "txn",
+						ticket(rapid.IntRange(1, 60).Draw(t, "txn"))),
+					call(1, "verb", "load", "limit", "100", "txn", ticket(1)),
+					call(2, "verb", "quick", "limit", "-1", "txn", ticket(2)),
+					call(2, "verb", "quick", "limit", "NaN", "txn", ticket(2)),
+					call(3, "verb", "none", "limit", "100", "txn", ticket(3)),
+					call(4, "verb", "quick", "limit", "100", "txn", "x"),
+					thrift.AppendAlive(nil, 9)[thrift.FrameHeader:],
+					thrift.AppendCancel(nil, 1,
+						int32(rapid.IntRange(1, 50).Draw(t, "back")))[thrift.FrameHeader:],
+					{0x80, 1, 0, 1, 0xff}, {},
+				}).Draw(t, "frame")
+				v := b.Message(now, id, frame)
+				switch {
+				case !alive[id] && !v.End:
+					t.Fatal("a message on no connection was read")
+				case v.Taken != nil:
+					q := v.Taken
+					of := 0
+					for other, at := range open {
+						if at.Conn == q.Conn {
+							of++
+						}
+						if other == q.ID || at == (Place{q.Conn, q.Seq}) {
+							t.Fatalf("%+v taken beside %d at %+v", q, other, at)
+						}
+					}
+					if _, twice := tickets[q.Ticket]; twice || of >= OpenMost || v.Event.Query != q.ID ||
+						!q.Until.After(now) || v.Event.TimeLeft <= 0 || v.Say != nil {
+						t.Fatalf("%+v taken, its id is open: %v, of %d open, %+v", q, twice, of, v.Event)
+					}
+					open[q.ID], tickets[q.Ticket] = Place{q.Conn, q.Seq}, q.ID
+				case v.Back != nil:
+					end(v.Back, "taken back")
+				case v.Bad && v.Say == nil:
+					t.Fatal("a request at fault is not told why")
+				}
+				if v.Say != nil {
+					unwritten[id]++
+				}
+			case 5, 6:
+				q := cresspass.QueryID(rapid.IntRange(1, 40).Draw(t, "answers"))
+				at, is := open[q]
+				to, ok := b.Answer(now, q)
+				if ok != is || ok && to != at {
+					t.Fatalf("answer to %d: %v at %+v, open: %v at %+v", q, ok, to, is, at)
+				}
+				if ok {
+					unwritten[to.Conn]++
+					for ticket, other := range tickets {
+						if other == q {
+							delete(tickets, ticket)
+						}
+					}
+					delete(open, q)
+				}
+			case 7:
+				if n := unwritten[id]; n > 0 && alive[id] {
+					b.Written(now, id, n)
+					unwritten[id] = 0
+				}
+			case 8:
+				spoilt := rapid.Bool().Draw(t, "spoilt")
+				ended := []*Request{}
+				if spoilt {
+					ended = b.Spoilt(id)
+					unwritten[id] += len(ended)
+				} else {
+					ended = b.Closed(id)
+					alive[id] = false
+				}
+				for _, q := range ended {
+					end(q, "ended")
+				}
+				if v := b.Message(now, id, call(70, "verb", "quick", "limit", "9", "txn",
+					ticket(99))); !v.End {
+					t.Fatalf("a message after the end: %+v", v)
+				}
+			case 9:
+				which, ok := b.Victim(now, 500*time.Millisecond)
+				if !ok {
+					break
+				}
+				for _, at := range open {
+					if at.Conn == which {
+						t.Fatalf("connection %d is to go, %+v is open there", which, at)
+					}
+				}
+				if !alive[which] || unwritten[which] > 0 {
+					t.Fatalf("connection %d is to go, %d messages are not written", which, unwritten[which])
+				}
+			}
+			if b.Open() != len(open) {
+				t.Fatalf("%d open, want %d", b.Open(), len(open))
+			}
+		}
+	})
+}
+
+// TestVictim: a crowd of connections that say nothing drives out neither a client that just connected nor
+// one with a request open.
+func TestVictim(t *testing.T) {
+	ms := time.Millisecond
+	type seen struct {
+		busy, spoke bool
+		silent      time.Duration
+	}
+	for name, c := range map[string]struct {
+		conns []seen
+		want  ConnID
+	}{
+		"mute for long": {[]seen{{spoke: true, silent: 3e3 * ms}, {silent: 600 * ms}, {silent: 900 * ms}}, 3},
+		"just made":     {[]seen{{silent: ms}, {spoke: true, silent: ms}, {spoke: true, silent: 9 * ms}}, 3},
+		"open":          {[]seen{{true, true, 9e3 * ms}, {spoke: true, silent: ms}}, 2},
+		"none can go":   {[]seen{{true, true, ms}, {silent: 499 * ms}}, 0},
+	} {
+		b, now := New(&cfg), zero.Add(time.Hour)
+		for i, s := range c.conns {
+			id, at := ConnID(i+1), now.Add(-s.silent)
+			b.Connect(at, id)
+			if s.spoke {
+				b.Message(at, id, thrift.AppendAlive(nil, 1)[thrift.FrameHeader:])
+				b.Written(at, id, 1)
+			}
+			if s.busy {
+				if v := b.Message(at, id, call(1, "verb", "quick", "limit", "9", "txn", ticket(i))); v.Bad {
+					t.Fatalf("%s", v.Say)
+				}
+			}
+		}
+		if got, ok := b.Victim(now, 500*ms); got != c.want || ok != (c.want > 0) {
+			t.Errorf("%s: %d %v, want %d", name, got, ok, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/thriftfront/request.go
@@ -0,0 +1,78 @@
+package thriftfront
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"cresspass"
+	"cresspass/internal/sqlscan"
+	"cresspass/internal/thrift"
+)
+
+// Limits of what a request may say.
+const (
+	limitMost = time.Hour
+	valueMost = 1e9 // of the estimates of work and memory
+)
+
+// Terms is what a request asked for, as far as it goes on to compute nodes.
+type Terms struct {
+	Ticket, Class, Nonce string
+	Body                 []byte
+}
+
+// read turns a request into the module's event, still without its id. Danger: what is taken here goes into
+// headers of calls to compute nodes, so nothing passes that is not of its form.
+func read(classes map[string]cresspass.Effect, q *thrift.Request) (cresspass.Event, Terms, error) {
+	t := Terms{Ticket: q.Fields["txn"], Class: q.Fields["verb"], Nonce: q.Fields["unique"], Body: q.Body}
+	ev := cresspass.Event{Type: cresspass.QueryTaken, Class: t.Class, IsRepeat: q.Fields["second"] == "1"}
+	effect, known := classes[t.Class]
+	switch {
+	case !hex(t.Ticket, 16):
+		return ev, t, fmt.Errorf("txn %.40q: want 16 hex digits", t.Ticket)
+	case !known:
+		return ev, t, fmt.Errorf("verb %.40q: not a class", t.Class)
+	case len(t.Body) == 0:
+		return ev, t, fmt.Errorf("no statement")
+	case t.Nonce != "" && !hex(t.Nonce, 32) || t.Nonce == "" && effect == cresspass.Keyed:
+		return ev, t, fmt.Errorf("unique %.40q: want 32 hex digits", t.Nonce)
+	}
+	limit, err := number(q.Fields, "limit", limitMost.Seconds()*1e3)
+	if err == nil && limit <= 0 {
+		err = fmt.Errorf("limit %q: want milliseconds", q.Fields["limit"])
+	}
+	if err != nil {
+		return ev, t, err
+	}
+	cost, err := number(q.Fields, "cpu", valueMost)
+	if err != nil {
+		return ev, t, err
+	}
+	if ev.MemoryMB, err = number(q.Fields, "heap_mb", valueMost); err != nil {
+		return ev, t, err
+	}
+	ev.TimeLeft = time.Duration(limit * float64(time.Millisecond))
+	ev.Cost = time.Duration(cost * float64(time.Millisecond))
+	ev.HasCost = cost > 0
+	ev.Tables = float64(sqlscan.Group(string(q.Body)))
+	return ev, t, nil
+}
+
+func hex(s string, n int) bool {
+	return len(s) == n && strings.Trim(s, "0123456789abcdefABCDEF") == ""
+}
+
+// number reads a figure from 0 to most; 0 where there is none.
+func number(fields map[string]string, name string, most float64) (float64, error) {
+	s, ok := fields[name]
+	if !ok {
+		return 0, nil
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0 && v <= most) {
+		return 0, fmt.Errorf("%s %.40q: want a number from 0 to %v", name, s, most)
+	}
+	return v, nil
+}
