A client's message is read before the front's state is taken

Need: read more of the change: the frame was parsed, and its statement scanned for the group of tables, with the state of all clients locked (front.go, take), so a 128 KB statement of one kept the others waiting. Change: Read looks at nothing that changes and runs outside; Message takes what it read. Tests as they were.

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -200,9 +200,9 @@
 
 // take handles a message. It returns false where the connection can't be read any further.
 func (c *client) take(frame []byte) bool {
-	s := c.f.s
+	s, m := c.f.s, c.f.book.Read(frame)
 	c.f.mu.Lock()
-	v := c.f.book.Message(time.Now(), c.id, frame)
+	v := c.f.book.Message(time.Now(), c.id, m)
 	if v.Taken != nil { // posted under the lock: what its client takes back at once must come after it
 		s.loop.Post(v.Event)
 	}
--- a/internal/thriftfront/front.go
+++ b/internal/thriftfront/front.go
@@ -90,15 +90,33 @@
 	b.conns[id] = &conn{open: map[int32]*Request{}, last: now}
 }
 
-// Message reads a whole frame, without its length. It is not kept. Where a request is at fault its client
-// is told why; where the message can't be read, or after Spoilt, the connection is at its end.
-func (b *Book) Message(now time.Time, id ConnID, frame []byte) (v Verdict) {
+// Message is what a frame says.
+type Message struct {
+	request thrift.Request
+	unread  error // why it can't be read
+	event   cresspass.Event
+	terms   Terms
+	fault   error // of the request
+}
+
+// Read reads a whole frame, without its length; the message points into it. It looks at nothing that
+// changes. Danger: read with the state at hand, a long statement of one client would keep all others waiting.
+func (b *Book) Read(frame []byte) (m Message) {
+	if m.request, m.unread = thrift.ParseRequest(frame); m.unread == nil && m.request.Name == "dispatch" {
+		m.event, m.terms, m.fault = read(b.classes, &m.request)
+	}
+	return m
+}
+
+// Message takes a message. Where a request is at fault its client is told why; where the message can't be
+// read, or after Spoilt, the connection is at its end. Nothing of the frame is kept.
+func (b *Book) Message(now time.Time, id ConnID, m Message) (v Verdict) {
 	c := b.conns[id]
 	if c == nil || c.ending {
 		return Verdict{End: true}
 	}
 	c.spoke, c.last = true, now
-	r, err := thrift.ParseRequest(frame)
+	r, err := &m.request, m.unread
 	switch {
 	case err != nil && r.Name == "":
 		return Verdict{End: true}
@@ -110,7 +128,7 @@
 	}
 	switch r.Name {
 	case "dispatch":
-		v.Taken, v.Event, err = b.admit(now, id, c, &r)
+		v.Taken, v.Event, err = b.admit(now, id, c, &m)
 		if err != nil {
 			v = Verdict{Bad: true, Say: Fault(r.Seq, err.Error())}
 		}
@@ -135,12 +153,11 @@
 }
 
 // admit takes a request into the books, or says why it can't be taken.
-func (b *Book) admit(now time.Time, id ConnID, c *conn,
-	r *thrift.Request) (*Request, cresspass.Event, error) {
-	ev, t, err := read(b.classes, r)
+func (b *Book) admit(now time.Time, id ConnID, c *conn, m *Message) (*Request, cresspass.Event, error) {
+	seq, ev, t, err := m.request.Seq, m.event, m.terms, m.fault
 	switch {
 	case err != nil:
-	case c.open[r.Seq] != nil:
+	case c.open[seq] != nil:
 		err = errors.New("this number is open already")
 	case len(c.open) >= OpenMost:
 		err = errors.New("too many requests open on this connection")
@@ -152,7 +169,7 @@
 		return nil, ev, err
 	}
 	b.lastID++
-	q := &Request{Terms: t, ID: b.lastID, Conn: id, Seq: r.Seq, Until: now.Add(ev.TimeLeft)}
+	q := &Request{Terms: t, ID: b.lastID, Conn: id, Seq: seq, Until: now.Add(ev.TimeLeft)}
 	q.Body = append([]byte(nil), t.Body...) // the frame is used again
 	c.open[q.Seq], b.asks[q.ID], b.tickets[q.Ticket] = q, q, q
 	ev.Query = q.ID
--- a/internal/thriftfront/front_test.go
+++ b/internal/thriftfront/front_test.go
@@ -68,7 +68,7 @@
 						int32(rapid.IntRange(1, 50).Draw(t, "back")))[thrift.FrameHeader:],
 					{0x80, 1, 0, 1, 0xff}, {},
 				}).Draw(t, "frame")
-				v := b.Message(now, id, frame)
+				v := b.Message(now, id, b.Read(frame))
 				switch {
 				case !alive[id] && !v.End:
 					t.Fatal("a message on no connection was read")
@@ -130,8 +130,8 @@
 				for _, q := range ended {
 					end(q, "ended")
 				}
-				if v := b.Message(now, id, call(70, "verb", "quick", "limit", "9", "txn",
-					ticket(99))); !v.End {
+				late := b.Read(call(70, "verb", "quick", "limit", "9", "txn", ticket(99)))
+				if v := b.Message(now, id, late); !v.End {
 					t.Fatalf("a message after the end: %+v", v)
 				}
 			case 9:
@@ -177,11 +177,12 @@
 			id, at := ConnID(i+1), now.Add(-s.silent)
 			b.Connect(at, id)
 			if s.spoke {
-				b.Message(at, id, thrift.AppendAlive(nil, 1)[thrift.FrameHeader:])
+				b.Message(at, id, b.Read(thrift.AppendAlive(nil, 1)[thrift.FrameHeader:]))
 				b.Written(at, id, 1)
 			}
 			if s.busy {
-				if v := b.Message(at, id, call(1, "verb", "quick", "limit", "9", "txn", ticket(i))); v.Bad {
+				ask := b.Read(call(1, "verb", "quick", "limit", "9", "txn", ticket(i)))
+				if v := b.Message(at, id, ask); v.Bad {
 					t.Fatalf("%s", v.Say)
 				}
 			}
