--- a/cmd/cresspass/model.go
+++ b/cmd/cresspass/model.go
@@ -124,7 +124,7 @@
 type modelRunCmd struct {
 	Experiments []string `arg:"" help:"Names of experiments, or files; a day's name plays the day."`
 	Seeds       int      `help:"Seeds at most, in place of the experiment's."`
-	After       uint64   `help:"Seeds begin after this one, for a second run that shares none with the first."`
+	After       uint64   `help:"Seeds begin after this one: two runs can share none."`
 	Report      string   `help:"Folder for a page with plots and the figures as text."`
 }
 
