Read once more: one form for the wire's bytes, one way for a packet to be taken

Bytes as hex digits stood in wire.go and peer.go, a packet's taking twice in members.go, and the probe's loop set what it overwrote; a comment told of less than its field holds.

--- a/internal/model/fleet.go
+++ b/internal/model/fleet.go
@@ -204,7 +204,7 @@
 	ended   time.Duration
 	asked   bool // it waits for what others have learnt
 	line    []*ask
-	out     []dispatch.Output // of a step that its timer began
+	out     []dispatch.Output // of steps, not carried out yet
 }
 
 type jobKey struct {
--- a/internal/model/members.go
+++ b/internal/model/members.go
@@ -205,22 +205,25 @@
 }
 
 func (f *Members) deliver(from, to *Member, data []byte) {
-	f.Net.Send(from.Number, to.Number, len(data), func() {
-		if to.Up && to.slow == 0 {
+	take := func() {
+		if to.Up {
 			to.Talker.Packet(to.now(f.Queue), data)
 		}
-	}, func() {
-		if to.slow > 0 {
-			f.Queue.In(to.slow, func() {
-				if to.Up {
-					to.Talker.Packet(to.now(f.Queue), data)
-					f.Carry(to)
-				}
-			})
-			return
-		}
+	}
+	carry := func() {
 		if to.Up {
 			f.Carry(to)
 		}
+	}
+	f.Net.Send(from.Number, to.Number, len(data), func() {
+		if to.slow == 0 {
+			take()
+		}
+	}, func() {
+		if to.slow == 0 {
+			carry()
+			return
+		}
+		f.Queue.In(to.slow, func() { take(); carry() })
 	})
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -209,14 +209,16 @@
 		path = "/load"
 	}
 	var c *nodeConn
-	begun, err := time.Now(), errNoSlot
-	for ; errors.Is(err, errNoSlot); sleep(s.watch.life, probeAgain) {
-		// Danger: that there is no descriptor tells nothing of the compute node, which would be shunned.
+	var begun time.Time
+	var err error
+	for {
 		begun = time.Now()
 		c, err = s.pool.get(s.watch.life, want{engine: engine, addr: addr, spare: true, due: begun})
-		if err == nil || s.watch.life.Err() != nil {
+		// Danger: that there is no descriptor tells nothing of the compute node, which would be shunned.
+		if !errors.Is(err, errNoSlot) || s.watch.life.Err() != nil {
 			break
 		}
+		sleep(s.watch.life, probeAgain)
 	}
 	if err != nil {
 		ev.Outcome = cresspass.ConnectFailed
--- a/internal/wire/peer.go
+++ b/internal/wire/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/hex"
 	"fmt"
 	"io"
 	"math"
@@ -113,11 +112,7 @@
 	case cresspass.TimerDue:
 		fmt.Fprintf(b.w, " label=%d", e.Label)
 	case cresspass.PeerMessage:
-		data := "-"
-		if len(e.Data) > 0 {
-			data = hex.EncodeToString(e.Data)
-		}
-		fmt.Fprintf(b.w, " sender=%d msg=%s", e.Peer, data)
+		fmt.Fprintf(b.w, " sender=%d msg=%s", e.Peer, digits(e.Data))
 	case cresspass.ProbeDone:
 		fmt.Fprintf(b.w, " node=%s disposition=%d duration-us=%d", e.Engine, e.Outcome, e.Took.Microseconds())
 		report()
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -398,11 +398,7 @@
 	case cresspass.CloseIdle:
 		fmt.Fprintf(w, "let_go dispatcher=%d node=%s", instance, a.Engine)
 	case cresspass.Tell:
-		data := "-"
-		if len(a.Data) > 0 {
-			data = hex.EncodeToString(a.Data)
-		}
-		fmt.Fprintf(w, "share dispatcher=%d recipient=%d msg=%s", instance, a.Peer, data)
+		fmt.Fprintf(w, "share dispatcher=%d recipient=%d msg=%s", instance, a.Peer, digits(a.Data))
 	case cresspass.Refuse:
 		fmt.Fprintf(w, "deny dispatcher=%d op-id=%d", instance, a.Query)
 		if a.Wait > 0 {
@@ -436,6 +432,14 @@
 	fmt.Fprintf(w, "give_in dispatcher=%d words=%s\n", instance, oneLine(text))
 }
 
+// digits are bytes as the wire has them.
+func digits(data []byte) string {
+	if len(data) == 0 {
+		return "-"
+	}
+	return hex.EncodeToString(data)
+}
+
 func oneLine(text string) string {
 	return strings.Join(strings.Fields(text), " ")
 }
