A client's connection ends only when nothing is open, coming or unread on it

Cause: front.go, client.read: the deadline of 15 s between messages (idleMost) ended the connection also while a request was open on it; with deadlines over 15 s queries run that long.

Change: the book judges a connection whose time is over (Overdue): kept with a request open, retired when unused, and where a message stopped half-way what is open is answered first. From reading, on the same path: a request that is unread, or half there, when unused connections are closed or one makes room, is seen (Begin, unread, under one lock); nothing is taken on a connection once it is retired; closes are a half-close, a drain and then the close, so that no reset takes the last answer along; the listener's backlog is taken before it closes. Five tests over sockets, four of which fail on the old code; the property test of the book knows the new steps.

--- /dev/null
+++ b/internal/platform/ends_test.go
@@ -0,0 +1,170 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	"cresspass/internal/thrift"
+)
+
+// hasty has connections to come be given up after so much silence.
+func (r *rig) hasty(idle time.Duration) {
+	r.front.mu.Lock()
+	defer r.front.mu.Unlock()
+	r.front.idle = idle
+}
+
+// held asks for a query that runs until the rig ends, and waits until its compute node has it.
+func (r *rig) held(a *asker, n int) int32 {
+	r.t.Helper()
+	r.node.withhold(0, ticket(n))
+	seq := a.ask(fields(ticket(n), "quick", "60000"))
+	within(r.t, "the query is sent", func() bool { return r.node.count("POST "+ticket(n)) == 1 })
+	return seq
+}
+
+// TestOpenRequestOutlivesSilence: a client that waits for an answer says nothing, for longer than a silent
+// connection is kept; one with nothing open is closed.
+func TestOpenRequestOutlivesSilence(t *testing.T) {
+	r := newRig(t, 256)
+	r.hasty(50 * time.Millisecond)
+	silent, a := r.dial(), r.dial()
+	silent.served(1, 1)
+	seq := r.held(a, 2)
+	if h := silent.hear(); h.kind != "closed" {
+		t.Fatalf("a silent connection: %+v", h)
+	}
+	time.Sleep(300 * time.Millisecond) // many times what a silent one has
+	r.node.set(nil)
+	if h := a.hear(); h.kind != "answer" || h.seq != seq {
+		t.Errorf("the request that was open: %+v", h)
+	}
+}
+
+// TestRequestComesAsItsConnectionIsClosed: a request that is there, unread, when unused connections are
+// closed is taken and answered; one that comes after is not sent on, and its client sees an orderly end.
+func TestRequestComesAsItsConnectionIsClosed(t *testing.T) {
+	r := newRig(t, 256)
+	a := r.dial()
+	a.served(1, 1)
+	within(t, "the connection is unused", func() bool { return len(r.unused()) == 1 })
+	r.front.mu.Lock() // its reader can't tell the book of what comes
+	seq := a.ask(fields(ticket(2), "quick", "2000"))
+	for c := r.only(); !c.unread(); {
+		time.Sleep(time.Millisecond)
+	}
+	r.front.closeUnused()
+	victim := r.front.makeRoom(0)
+	r.front.mu.Unlock()
+	if victim {
+		t.Error("it made room for another")
+	}
+	if h := a.hear(); h.kind != "answer" || h.seq != seq {
+		t.Fatalf("the request that was there: %+v", h)
+	}
+	within(t, "the connection is unused", func() bool { return len(r.unused()) == 1 })
+	r.front.closeIdle()
+	a.ask(fields(ticket(3), "quick", "2000"))
+	if h := a.hear(); h.kind != "closed" {
+		t.Errorf("a request after the end: %+v", h)
+	}
+	within(t, "the connection is closed", func() bool { return r.front.size() == 0 })
+	if n := r.node.count("POST"); n != 2 {
+		t.Errorf("%d queries were sent on, want 2", n)
+	}
+}
+
+func (r *rig) unused() []*client {
+	r.front.mu.Lock()
+	defer r.front.mu.Unlock()
+	var list []*client
+	for _, id := range r.front.book.Unused() {
+		list = append(list, r.front.conns[id])
+	}
+	return list
+}
+
+// only returns the one connection; front.mu is held.
+func (r *rig) only() *client {
+	for _, c := range r.front.conns {
+		return c
+	}
+	r.t.Fatal("no connection")
+	return nil
+}
+
+// TestLastAnswersArrive: where a connection can't be read any further, what was open on it is answered, and
+// the answers are not lost by a reset over bytes that nobody read; the same where a message stops half-way.
+func TestLastAnswersArrive(t *testing.T) {
+	for name, c := range map[string]struct{ first, then []byte }{
+		"no length": {[]byte{0xff, 0xff, 0xff, 0xf0}, bytes.Repeat([]byte{1}, 1<<20)},
+		"no message": {append(binary.BigEndian.AppendUint32(nil, 4), 1, 2, 3, 4),
+			bytes.Repeat([]byte{2}, 1<<20)},
+		"half a message": {[]byte{0, 0, 1, 0, 0x80}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 256)
+			a := r.dial()
+			seq := r.held(a, 1)
+			a.net.Write(c.first)
+			go a.net.Write(c.then)
+			if h := a.hear(); h.kind != "fault" || h.seq != seq {
+				t.Errorf("what was open: %+v", h)
+			}
+			if h := a.hear(); h.kind != "closed" {
+				t.Errorf("after it: %+v", h)
+			}
+			within(t, "the query is given up", func() bool { return r.node.count("DELETE "+ticket(1)) > 0 })
+		})
+	}
+}
+
+// TestBacklogAtLastCall: connections that the machine accepted, and the dispatcher not yet, are served after
+// the last call.
+func TestBacklogAtLastCall(t *testing.T) {
+	r := newRig(t, 256)
+	r.front.mu.Lock() // the front takes one connection, and stops there
+	var list []*asker
+	for i := range 5 {
+		a := r.dial()
+		a.ask(fields(ticket(i+1), "quick", "2000"))
+		list = append(list, a)
+	}
+	r.front.lastCall()
+	r.front.mu.Unlock()
+	for i, a := range list {
+		if h := a.hear(); h.kind != "answer" {
+			t.Errorf("connection %d: %+v", i, h)
+		}
+	}
+	raw, err := r.front.ln.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	within(t, "the listener is closed", func() bool { return raw.Control(func(uintptr) {}) != nil })
+}
+
+// TestPipelined: requests that come in one segment, and in single bytes, are all read.
+func TestPipelined(t *testing.T) {
+	r := newRig(t, 256)
+	a := r.dial()
+	var b []byte
+	const asks = 20
+	for i := range asks {
+		b = thrift.AppendDispatch(b, int32(i+1), fields(ticket(i+1), "quick", "5000"), []byte("SELECT 1"))
+	}
+	a.net.Write(b[:len(b)-7])
+	for _, c := range b[len(b)-7:] {
+		a.net.Write([]byte{c})
+	}
+	seen := map[int32]bool{}
+	for range asks {
+		h := a.hear()
+		if h.kind != "answer" || seen[h.seq] {
+			t.Fatalf("%+v, heard before: %v", h, seen)
+		}
+		seen[h.seq] = true
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -26,55 +27,76 @@
 	readStep    = 8 << 10                // a message grows by this, so that a told length alone costs nothing
 	readAhead   = 1 << 10                // bytes read at once: mostly a whole message
 	acceptPause = 10 * time.Millisecond  // after an accept that failed
-	lingerFor   = 200 * time.Millisecond // for a last answer to be taken before a connection is closed
+	lingerFor   = 200 * time.Millisecond // for a client to close a connection that was shut for writing
+	roomTries   = 4                      // connections looked at to make room for one
 )
 
 // client is a connection of a client: the shell of what thriftfront.Book knows of it.
 type client struct {
-	f   *front
-	id  thriftfront.ConnID
-	net net.Conn
-	raw syscall.RawConn
-	in  *bufio.Reader
+	f    *front
+	id   thriftfront.ConnID
+	idle time.Duration // between messages
+	net  *net.TCPConn
+	raw  syscall.RawConn
+	in   *bufio.Reader
 
 	mu       sync.Mutex
 	out      []byte
 	messages int // in out, or being written
 	flushing bool
-	ending   bool // closed once out is written
+	ending   bool // shut for writing once out is written; what comes is thrown away
 }
 
 // front takes clients' connections.
 type front struct {
 	s      *service
-	ln     net.Listener
+	ln     *net.TCPListener
 	budget *budget
-
-	mu    sync.Mutex
-	book  *thriftfront.Book
-	conns map[thriftfront.ConnID]*client
-	last  thriftfront.ConnID
+	mu     sync.Mutex
+	book   *thriftfront.Book
+	conns  map[thriftfront.ConnID]*client
+	last   thriftfront.ConnID
+	idle   time.Duration // of the connections to come
 }
 
-func newFront(s *service, ln net.Listener, b *budget) *front {
-	return &front{s: s, ln: ln, budget: b, book: thriftfront.New(&s.cfg.Module),
+func newFront(s *service, ln *net.TCPListener, b *budget) *front {
+	return &front{s: s, ln: ln, budget: b, idle: idleMost, book: thriftfront.New(&s.cfg.Module),
 		conns: map[thriftfront.ConnID]*client{}}
 }
 
+// lastCall has what waits for accept be taken, and no more after that.
+func (f *front) lastCall() { f.lastCallFor(0) }
+
+func (f *front) lastCallFor(d time.Duration) { f.ln.SetDeadline(time.Now().Add(d)) }
+
 func (f *front) run() {
+	defer f.ln.Close()
+	empty := false
 	for {
-		c, err := f.ln.Accept()
+		c, err := f.ln.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) { // the last call
+			// Danger: closed at once, the listener would reset connections whose requests are there; and past
+			// its deadline Accept doesn't look for them.
+			if empty {
+				return
+			}
+			empty = true
+			f.lastCallFor(acceptPause)
+			continue
+		}
+		empty = false
 		if err != nil { // no descriptor left, or the client has gone again
 			f.crowded(muteFor)
 			time.Sleep(acceptPause)
 			continue
 		}
 		cl := &client{f: f, net: c, in: bufio.NewReaderSize(c, readAhead)}
-		if sc, ok := c.(syscall.Conn); ok {
-			cl.raw, _ = sc.SyscallConn()
+		if cl.raw, err = c.SyscallConn(); err != nil {
+			c.Close()
+			continue
 		}
 		if f.size() >= f.budget.usual && !f.crowded(muteFor) && f.budget.full(f.s.pool.size()) &&
 			!f.crowded(pressing) {
@@ -84,7 +106,7 @@
 		}
 		f.mu.Lock()
 		f.last++
-		cl.id = f.last
+		cl.id, cl.idle = f.last, f.idle
 		f.conns[cl.id] = cl
 		f.book.Connect(time.Now(), cl.id)
 		f.budget.clients.Store(int32(f.book.Size()))
@@ -96,18 +118,28 @@
 // crowded closes a connection to make room. It reports whether there was one that could go.
 func (f *front) crowded(mute time.Duration) bool {
 	f.mu.Lock()
-	id, ok := f.book.Victim(time.Now(), mute)
-	c := f.conns[id]
-	if ok {
+	defer f.mu.Unlock()
+	return f.makeRoom(mute)
+}
+
+// makeRoom is crowded; f.mu is held.
+func (f *front) makeRoom(mute time.Duration) bool {
+	for range roomTries {
+		id, ok := f.book.Victim(time.Now(), mute)
+		if !ok {
+			return false
+		}
+		c := f.conns[id]
+		if c.unread() { // a message is there that its reader has not come to
+			f.book.Begin(time.Now(), id)
+			continue
+		}
 		f.forget(id)
+		f.s.shut.Add(1)
+		c.net.Close()
+		return true
 	}
-	f.mu.Unlock()
-	if !ok {
-		return false
-	}
-	f.s.shut.Add(1)
-	c.net.Close()
-	return true
+	return false
 }
 
 // forget takes a connection out of the books and returns what was open on it. f.mu is held.
@@ -118,12 +150,21 @@
 	return open
 }
 
-// closeIdle closes the connections on which nothing is open.
+// closeIdle retires the connections on which nothing is open. Danger: a request may be there that its reader
+// has not come to yet; looked for under the lock that Begin needs, it is either seen here or comes too late
+// to be taken.
 func (f *front) closeIdle() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.closeUnused()
+}
+
+// closeUnused is closeIdle; f.mu is held.
+func (f *front) closeUnused() {
 	for _, id := range f.book.Unused() {
-		f.conns[id].net.Close()
+		if c := f.conns[id]; !c.unread() && f.book.Retire(id) {
+			c.retire()
+		}
 	}
 }
 
@@ -156,45 +197,192 @@
 	return f.book.Get(id)
 }
 
-// read takes the client's messages until its connection ends.
+// read takes the client's messages until its connection ends. It alone closes the connection, but for one
+// that makes room.
 func (c *client) read() {
 	defer c.over()
-	var head [thrift.FrameHeader]byte
 	var frame []byte
-	c.net.SetReadDeadline(time.Now().Add(speakWithin))
+	c.patience(speakWithin)
 	for first := true; ; first = false {
-		if _, err := io.ReadFull(c.in, head[:1]); err != nil {
+		if err := c.await(); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				if !c.overdue() {
+					c.patience(c.idle)
+					continue
+				}
+				c.drain()
+			}
+			return
+		}
+		if !c.begin() {
+			c.drain()
 			return
 		}
 		if !first {
-			c.net.SetReadDeadline(time.Now().Add(frameWithin))
+			c.patience(frameWithin)
 		}
-		if _, err := io.ReadFull(c.in, head[1:]); err != nil {
-			return
+		var err error
+		if frame, err = c.frame(frame); err == nil && !c.take(frame) {
+			err = errFrame
 		}
-		n := binary.BigEndian.Uint32(head[:])
-		if n == 0 || n > frameMost {
-			c.garbage()
+		switch {
+		case err == nil:
+			c.patience(c.idle)
+			continue
+		case errors.Is(err, errFrame):
+			c.f.s.unread.Add(1)
+			c.spoilt()
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			c.overdue()
+		default: // its client has gone
 			return
 		}
-		if cap(frame) > 2*readStep && n <= readStep {
-			frame = nil
-		}
-		frame = frame[:0]
-		for left := int(n); left > 0; {
-			step := min(left, readStep)
-			at := len(frame)
-			frame = append(frame, make([]byte, step)...)
-			if _, err := io.ReadFull(c.in, frame[at:]); err != nil {
-				return
-			}
-			left -= step
+		c.drain()
+		return
+	}
+}
+
+var errFrame = errors.New("no message")
+
+// frame reads a message into a buffer, or into another one.
+func (c *client) frame(frame []byte) ([]byte, error) {
+	var head [thrift.FrameHeader]byte
+	if _, err := io.ReadFull(c.in, head[:]); err != nil {
+		return frame, err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n == 0 || n > frameMost {
+		return frame, errFrame
+	}
+	if cap(frame) > 2*readStep && n <= readStep {
+		frame = nil
+	}
+	frame = frame[:0]
+	for left := int(n); left > 0; {
+		step := min(left, readStep)
+		at := len(frame)
+		frame = append(frame, make([]byte, step)...)
+		if _, err := io.ReadFull(c.in, frame[at:]); err != nil {
+			return frame, err
 		}
-		if !c.take(frame) {
-			c.garbage()
+		left -= step
+	}
+	return frame, nil
+}
+
+// await waits until something is there to be read, and leaves it there. Danger: bytes that were read out of
+// the socket before the book knows of them would be lost with a connection that is closed as unused.
+func (c *client) await() error {
+	if c.in.Buffered() > 0 {
+		return nil
+	}
+	var n int
+	var got error
+	err := c.raw.Read(func(fd uintptr) bool {
+		n, got = peek(fd)
+		return got != syscall.EAGAIN && got != syscall.EINTR
+	})
+	switch {
+	case err != nil:
+		return err
+	case got == nil && n == 0:
+		return io.EOF
+	}
+	return got
+}
+
+// peek looks at what is there to be read: 0 and no error at the end.
+func peek(fd uintptr) (int, error) {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return n, err
+}
+
+// unread reports whether something is there to be read, without waiting.
+func (c *client) unread() (some bool) {
+	c.raw.Control(func(fd uintptr) {
+		n, err := peek(fd)
+		some = err == nil && n > 0
+	})
+	return some
+}
+
+// begin tells the book that a message has begun to come.
+func (c *client) begin() bool {
+	c.f.mu.Lock()
+	defer c.f.mu.Unlock()
+	return c.f.book.Begin(time.Now(), c.id)
+}
+
+// patience is how long the client may take, unless its connection was retired.
+func (c *client) patience(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ending {
+		c.net.SetReadDeadline(time.Now().Add(d))
+	}
+}
+
+// overdue has the book judge a connection on which nothing more came in time. It reports whether it ends.
+func (c *client) overdue() bool {
+	c.f.mu.Lock()
+	open, end := c.f.book.Overdue(c.id)
+	c.f.mu.Unlock()
+	c.fault(open, "the request did not come whole in time")
+	return end
+}
+
+// spoilt ends a connection whose bytes can't be read.
+func (c *client) spoilt() {
+	c.f.mu.Lock()
+	open := c.f.book.Spoilt(c.id)
+	c.f.mu.Unlock()
+	c.fault(open, "the connection can't be read")
+}
+
+// fault answers and gives up what was open on a connection that ends.
+func (c *client) fault(open []*thriftfront.Request, reason string) {
+	var b []byte
+	for _, q := range open {
+		b = append(b, thriftfront.Fault(q.Seq, reason)...)
+		c.f.s.gone(q)
+	}
+	if len(open) > 0 {
+		c.send(b, len(open))
+	}
+}
+
+// retire has a connection end on which the book takes nothing more: it is shut for writing once all answers
+// are written, and what still comes is thrown away until the client closes. Danger: a close over unread bytes
+// resets the connection, and the last answers are lost with it.
+func (c *client) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return
+	}
+	c.ending = true
+	if !c.flushing {
+		c.shut()
+	} else {
+		c.net.SetReadDeadline(time.Now().Add(writeWithin + lingerFor)) // until flush has shut it
+	}
+}
+
+// shut ends the writing side, and the reading side some time later. c.mu is held.
+func (c *client) shut() {
+	c.net.CloseWrite()
+	c.net.SetReadDeadline(time.Now().Add(lingerFor))
+}
+
+// drain retires the connection and reads until its client closes it, for some time at most.
+func (c *client) drain() {
+	c.retire()
+	b := make([]byte, readAhead)
+	for {
+		if _, err := c.net.Read(b); err != nil {
 			return
 		}
-		c.net.SetReadDeadline(time.Now().Add(idleMost))
 	}
 }
 
@@ -268,15 +456,14 @@
 		b := c.out
 		c.out = nil
 		if len(b) == 0 {
-			c.flushing = false
-			ending, n := c.ending, c.messages
-			c.messages = 0
+			n := c.messages
+			c.flushing, c.messages = false, 0
 			c.net.SetWriteDeadline(time.Time{})
+			if c.ending {
+				c.shut()
+			}
 			c.mu.Unlock()
 			c.written(n)
-			if ending {
-				c.net.Close()
-			}
 			return
 		}
 		c.mu.Unlock()
@@ -287,37 +474,12 @@
 	}
 }
 
-// garbage ends a connection whose bytes can't be read: what is open on it is answered first.
-func (c *client) garbage() {
-	c.f.s.unread.Add(1)
-	c.f.mu.Lock()
-	open := c.f.book.Spoilt(c.id)
-	c.f.mu.Unlock()
-	var b []byte
-	for _, q := range open {
-		b = append(b, thriftfront.Fault(q.Seq, "the connection can't be read")...)
-		c.f.s.gone(q)
-	}
-	if len(open) > 0 {
-		c.send(b, len(open))
-	}
-	time.Sleep(acceptPause) // for the last answer to leave
-}
-
-// over ends what is open on a connection that ended.
+// over ends what is open on a connection that ended, and closes it.
 func (c *client) over() {
 	c.f.mu.Lock()
 	open := c.f.forget(c.id)
 	c.f.mu.Unlock()
-	c.mu.Lock()
-	c.ending = true
-	flushing := c.flushing
-	c.mu.Unlock()
-	if !flushing {
-		c.net.Close()
-	} else {
-		time.AfterFunc(lingerFor, func() { c.net.Close() })
-	}
+	c.net.Close()
 	for _, q := range open {
 		c.f.s.gone(q)
 	}
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform: %w", err)
 	}
-	s.front = newFront(s, ln, b)
+	s.front = newFront(s, ln.(*net.TCPListener), b)
 	go s.loop.Run()
 	go s.watch.run()
 	go s.front.run()
@@ -149,7 +149,7 @@
 			lastCall, end = time.After(newAfterTerm), time.After(longest+endSlack)
 			sweep.Reset(sweepEvery / 10)
 		case <-lastCall:
-			s.front.ln.Close()
+			s.front.lastCall()
 			lastCall = nil
 		case <-sweep.C:
 			s.pool.sweep()
--- a/internal/thriftfront/front.go
+++ b/internal/thriftfront/front.go
@@ -44,9 +44,10 @@
 
 type conn struct {
 	open    map[int32]*Request
-	writing int // answers handed out that are not yet written
-	ending  bool
+	writing int  // answers handed out that are not yet written
+	ending  bool // nothing further that comes on it is taken
 	spoke   bool // a whole message came
+	partly  bool // a message has begun to come
 	last    time.Time
 }
 
@@ -90,6 +91,17 @@
 	b.conns[id] = &conn{open: map[int32]*Request{}, last: now}
 }
 
+// Begin tells that the first byte of a message is there. It returns false where nothing more is taken.
+// Danger: until the last byte came nothing is open, yet a connection closed now takes the request with it.
+func (b *Book) Begin(now time.Time, id ConnID) bool {
+	c := b.conns[id]
+	if c == nil || c.ending {
+		return false
+	}
+	c.partly, c.last = true, now
+	return true
+}
+
 // Message is what a frame says.
 type Message struct {
 	request thrift.Request
@@ -115,7 +127,7 @@
 	if c == nil || c.ending {
 		return Verdict{End: true}
 	}
-	c.spoke, c.last = true, now
+	c.spoke, c.partly, c.last = true, false, now
 	r, err := &m.request, m.unread
 	switch {
 	case err != nil && r.Name == "":
@@ -214,6 +226,32 @@
 	return open
 }
 
+// Overdue tells that nothing more came on a connection in the time for it. A silent one with nothing open is
+// retired, one that stopped in the middle of a message is Spoilt. Danger: a client that waits for answers
+// says nothing, for as long as its queries run, and its connection must stay.
+func (b *Book) Overdue(id ConnID) (open []*Request, end bool) {
+	c := b.conns[id]
+	switch {
+	case c == nil:
+		return nil, true
+	case c.partly:
+		return b.Spoilt(id), true
+	}
+	return nil, c.ending || b.Retire(id)
+}
+
+// Retire has nothing further taken on a connection that is to be closed. It returns false where the
+// connection is in use. Danger: a request that comes after its answers can no longer be written must not be
+// sent on.
+func (b *Book) Retire(id ConnID) bool {
+	c := b.conns[id]
+	if c == nil || c.inUse() {
+		return false
+	}
+	c.ending = true
+	return true
+}
+
 // Closed forgets a connection, and returns what was open on it: nobody waits for that any more.
 func (b *Book) Closed(id ConnID) (open []*Request) {
 	if c := b.conns[id]; c != nil {
@@ -231,27 +269,29 @@
 	return open
 }
 
-// Unused returns the connections on which nothing is open and nothing is being written.
+// Unused returns the connections on which nothing is open, nothing is being written and nothing has begun to
+// come.
 func (b *Book) Unused() (ids []ConnID) {
 	for id, c := range b.conns {
-		if !c.busy() {
+		if !c.inUse() && !c.partly {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
-func (c *conn) busy() bool { return len(c.open) > 0 || c.writing > 0 || c.ending }
+func (c *conn) inUse() bool { return len(c.open) > 0 || c.writing > 0 || c.ending }
 
 // Victim picks the connection to be closed for a new one: one that never said anything, if it had as long as
-// mute to do so, else the one that was silent for longest. It returns false where none can go. Danger: of all
+// mute to do so, else the one that was silent for longest. One in the middle of a message has as long as mute
+// to go on. It returns false where none can go. Danger: of all
 // connections the newest are the ones on which a first request is just on its way, and it fails with them;
 // a client that has used its connection notices a close and asks again.
 func (b *Book) Victim(now time.Time, mute time.Duration) (ConnID, bool) {
 	var best *conn
 	var which ConnID
 	for id, c := range b.conns {
-		if c.busy() || !c.spoke && now.Sub(c.last) < mute {
+		if c.inUse() || (!c.spoke || c.partly) && now.Sub(c.last) < mute {
 			continue
 		}
 		if best == nil || best.spoke && !c.spoke || best.spoke == c.spoke &&
--- a/internal/thriftfront/front_test.go
+++ b/internal/thriftfront/front_test.go
@@ -37,6 +37,7 @@
 		tickets := map[string]cresspass.QueryID{}
 		unwritten := map[ConnID]int{}
 		alive := map[ConnID]bool{}
+		ending, partly := map[ConnID]bool{}, map[ConnID]bool{}
 		end := func(q *Request, how string) {
 			if at, ok := open[q.ID]; !ok || at != (Place{q.Conn, q.Seq}) {
 				t.Fatalf("request %d of %+v %s, it is open: %v, at %+v", q.ID, q.Conn, how, ok, at)
@@ -44,15 +45,23 @@
 			delete(open, q.ID)
 			delete(tickets, q.Ticket)
 		}
+		used := func(id ConnID) bool {
+			for _, at := range open {
+				if at.Conn == id {
+					return true
+				}
+			}
+			return false
+		}
 		conn := func() ConnID { return ConnID(rapid.IntRange(1, 3).Draw(t, "conn")) }
 		for range rapid.IntRange(1, 200).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
 			id := conn()
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 12).Draw(t, "step") {
 			case 0:
 				if !alive[id] {
 					b.Connect(now, id)
-					alive[id], unwritten[id] = true, 0
+					alive[id], unwritten[id], ending[id], partly[id] = true, 0, false, false
 				}
 			case 1, 2, 3, 4:
 				frame := rapid.SampledFrom([][]byte{
@@ -69,9 +78,9 @@
 					{0x80, 1, 0, 1, 0xff}, {},
 				}).Draw(t, "frame")
 				v := b.Message(now, id, b.Read(frame))
-				switch {
-				case !alive[id] && !v.End:
-					t.Fatal("a message on no connection was read")
+				switch partly[id] = false; {
+				case (!alive[id] || ending[id]) && !v.End:
+					t.Fatal("a message on no connection, or on one that ends, was read")
 				case v.Taken != nil:
 					q := v.Taken
 					of := 0
@@ -123,6 +132,7 @@
 				if spoilt {
 					ended = b.Spoilt(id)
 					unwritten[id] += len(ended)
+					ending[id] = alive[id]
 				} else {
 					ended = b.Closed(id)
 					alive[id] = false
@@ -147,6 +157,35 @@
 				if !alive[which] || unwritten[which] > 0 {
 					t.Fatalf("connection %d is to go, %d messages are not written", which, unwritten[which])
 				}
+			case 10:
+				if ok := b.Begin(now, id); ok != (alive[id] && !ending[id]) {
+					t.Fatalf("a message begins: %v; alive %v, ending %v", ok, alive[id], ending[id])
+				} else if ok {
+					partly[id] = true
+				}
+			case 11:
+				wasUsed := used(id)
+				ended, last := b.Overdue(id)
+				for _, q := range ended {
+					end(q, "overdue")
+				}
+				unwritten[id] += len(ended)
+				if over := !alive[id] || ending[id] || partly[id] || unwritten[id] == 0 && !wasUsed; over != last {
+					t.Fatalf("overdue: ends %v, want %v", last, over)
+				}
+				ending[id] = alive[id] && last
+			case 12:
+				was := ending[id]
+				ok := b.Retire(id)
+				if want := alive[id] && !was && unwritten[id] == 0 && !used(id); ok != want {
+					t.Fatalf("retired: %v, want %v", ok, want)
+				}
+				ending[id] = was || ok
+				for _, other := range b.Unused() {
+					if ending[other] || partly[other] || unwritten[other] > 0 || used(other) {
+						t.Fatalf("connection %d is told to be unused", other)
+					}
+				}
 			}
 			if b.Open() != len(open) {
 				t.Fatalf("%d open, want %d", b.Open(), len(open))
@@ -162,6 +201,7 @@
 	type seen struct {
 		busy, spoke bool
 		silent      time.Duration
+		partly      bool // a message began then
 	}
 	for name, c := range map[string]struct {
 		conns []seen
@@ -169,8 +209,11 @@
 	}{
 		"mute for long": {[]seen{{spoke: true, silent: 3e3 * ms}, {silent: 600 * ms}, {silent: 900 * ms}}, 3},
 		"just made":     {[]seen{{silent: ms}, {spoke: true, silent: ms}, {spoke: true, silent: 9 * ms}}, 3},
-		"open":          {[]seen{{true, true, 9e3 * ms}, {spoke: true, silent: ms}}, 2},
-		"none can go":   {[]seen{{true, true, ms}, {silent: 499 * ms}}, 0},
+		"open":          {[]seen{{busy: true, spoke: true, silent: 9e3 * ms}, {spoke: true, silent: ms}}, 2},
+		"none can go":   {[]seen{{busy: true, spoke: true, silent: ms}, {silent: 499 * ms}}, 0},
+		"half a message": {[]seen{{spoke: true, silent: 499 * ms, partly: true}, {spoke: true, silent: ms},
+			{silent: 499 * ms, partly: true}}, 2},
+		"half for long": {[]seen{{spoke: true, silent: 600 * ms, partly: true}, {spoke: true, silent: ms}}, 1},
 	} {
 		b, now := New(&cfg), zero.Add(time.Hour)
 		for i, s := range c.conns {
@@ -180,6 +223,9 @@
 				b.Message(at, id, b.Read(thrift.AppendAlive(nil, 1)[thrift.FrameHeader:]))
 				b.Written(at, id, 1)
 			}
+			if s.partly {
+				b.Begin(at, id)
+			}
 			if s.busy {
 				ask := b.Read(call(1, "verb", "quick", "limit", "9", "txn", ticket(i)))
 				if v := b.Message(at, id, ask); v.Bad {
