An attempt looks again as it is written; the watch moves at once; restarts speak last words

Seen in the code: attempt.do waits for a descriptor and a dial after service.begin looked whether the client is there, and call then writes; watcher.run sleeps its back-off without hearing move, and without chance, so that a fleet comes back together; live returned at its end with requests open; reload gave up at a file that was half written; clients at their most left urgent calls the descriptors of discovery (budget.full).

Change: mayBegin looks, where the query's bytes are written, whether its client still waits, its compute node still takes queries at that address, and its time is not over. The time is Output.Within of the core: the client's deadline, and for a keyed repeat the window counted from the first attempt that may have run. What is withheld ends as turned away: it never ran, and does not count against its compute node. move wakes the pause, which is drawn by board.Backoff. A file that can't be read is read again for 2 s. At 0.5 s after the longest deadline what is still open is answered as failed. Settings that a reload does not take are told.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -127,13 +127,14 @@
 type Follower struct {
 	last  uint64
 	addrs map[cresspass.EngineID]string
+	up    map[cresspass.EngineID]bool
 	gone  []cresspass.EngineID // since the last call of Gone
 	at    func(unixMS int64) time.Duration
 }
 
 // NewFollower returns a Follower; at turns a Unix millisecond into the module's time.
 func NewFollower(at func(unixMS int64) time.Duration) *Follower {
-	return &Follower{addrs: map[cresspass.EngineID]string{}, at: at}
+	return &Follower{addrs: map[cresspass.EngineID]string{}, up: map[cresspass.EngineID]bool{}, at: at}
 }
 
 // Last is the number of the last event taken.
@@ -142,6 +143,11 @@
 // Addr returns the address of a compute node, as it was last told; "" where none was.
 func (f *Follower) Addr(id cresspass.EngineID) string { return f.addrs[id] }
 
+// Takes reports whether a compute node at an address takes new queries, as far as was told.
+func (f *Follower) Takes(id cresspass.EngineID, addr string) bool {
+	return f.up[id] && f.addrs[id] == addr
+}
+
 // Gone returns the compute nodes that left the list since the last call. Their addresses are forgotten.
 func (f *Follower) Gone() []cresspass.EngineID {
 	gone := f.gone
@@ -195,6 +201,7 @@
 	if n.Pool.Full {
 		old := f.addrs
 		f.addrs = make(map[cresspass.EngineID]string, len(n.Pool.Servers))
+		clear(f.up)
 		for id := range old {
 			if !slices.ContainsFunc(n.Pool.Servers, func(s Server) bool { return s.ID == string(id) }) {
 				f.gone = append(f.gone, id)
@@ -203,7 +210,9 @@
 	}
 	for i := range n.Pool.Servers {
 		s := &n.Pool.Servers[i]
-		if id := cresspass.EngineID(s.ID); s.State == "removed" {
+		id := cresspass.EngineID(s.ID)
+		if f.up[id] = s.State == "up"; s.State == "removed" {
+			delete(f.up, id)
 			delete(f.addrs, id)
 			f.gone = append(f.gone, id)
 		} else if s.Addr != "" {
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -97,6 +97,9 @@
 	if v != Taken || err != nil || f.Addr("b") != "" {
 		t.Errorf("%v, %v, address %q", v, err, f.Addr("b"))
 	}
+	if f.Takes("b", f.Addr("b")) || !f.Takes("a", f.Addr("a")) || f.Takes("a", "elsewhere:1") {
+		t.Error("takes queries: one that left, not one that is up, or one elsewhere")
+	}
 	if gone := f.Gone(); len(gone) != 1 || gone[0] != "b" {
 		t.Errorf("gone: %v", gone)
 	}
@@ -104,4 +107,12 @@
 	if v != Taken || f.Addr("a") != "" || f.Addr("c") == "" {
 		t.Errorf("a whole list after a gap: %v", v)
 	}
+	at := f.Addr("c")
+	if f.Takes("a", f.Addr("a")) || !f.Takes("c", at) {
+		t.Error("one that a whole list leaves out takes queries, or one on it does not")
+	}
+	if _, v, _ = take(event(10, false, server("c", "draining", 0))); v != Taken || f.Addr("c") != at ||
+		f.Takes("c", at) {
+		t.Error("a draining one takes queries, or has no address for those that it runs")
+	}
 }
--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -41,6 +41,8 @@
 	Refused                    // the connection was refused: no process is there
 	Unreached                  // no connection came up, or it broke before anything was written
 	NoRoom                     // there was no descriptor for a connection
+	Unwanted                   // nothing was written: nobody waits for the query any more
+	Withheld                   // nothing was written: the compute node takes nothing new, or it is too late
 	Stop                       // it is to end with Outcome; what became of the last call was told before
 )
 
@@ -113,8 +115,10 @@
 		return m.left(now, ev)
 	case ev.Type == Answered:
 		return m.answered(now, now-last, ev.Answer)
-	case !m.posted && ev.Type == NoRoom:
+	case !m.posted && (ev.Type == NoRoom || ev.Type == Unwanted):
 		return Step{Type: End, Outcome: cresspass.Moot}
+	case !m.posted && ev.Type == Withheld: // no fault of its compute node, and it may go to another
+		return Step{Type: End, Outcome: cresspass.Full}
 	case !m.posted:
 		return Step{Type: End, Outcome: cresspass.ConnectFailed}
 	case ev.Type == Refused: // its process is dead, and with it the query
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -19,7 +19,7 @@
 
 // The outputs of a Core.
 const (
-	// Query, Attempt, Engine, Priority, MemoryMB: begin an attempt; one AttemptDone is owed
+	// Query, Attempt, Engine, Priority, MemoryMB, Within: begin an attempt; one AttemptDone is owed
 	Start OutputType = iota
 	// Query, Attempt, Engine, Outcome: disown it, and report AttemptDone with that outcome
 	Stop
@@ -41,7 +41,8 @@
 	Engine   cresspass.EngineID
 	Outcome  cresspass.Outcome
 	Wait     time.Duration
-	Priority int // -1: not set
+	Within   time.Duration // the attempt must have come to its engine by then, or must not begin
+	Priority int           // -1: not set
 	MemoryMB float64
 	Ran      bool
 	On       bool
@@ -62,8 +63,10 @@
 	id       cresspass.QueryID
 	deadline time.Duration
 	safe     bool
+	window   time.Duration // in which repeats are dropped; 0: the class is not keyed
 	ended    bool
-	ran      bool // an attempt may have run
+	ran      bool          // an attempt may have run...
+	ranAt    time.Duration // ...the first of them was started then
 	starts   int
 	priority int
 	memory   float64
@@ -97,7 +100,9 @@
 type Core struct {
 	gateway Decider
 	safe    map[string]bool
+	windows map[string]time.Duration // of keyed classes
 	grace   time.Duration
+	slack   time.Duration // off a window's end
 	timers  *wheel.Wheel[due]
 	queries map[cresspass.QueryID]*query
 	events  []cresspass.Event
@@ -122,10 +127,14 @@
 
 // NewCoreWith returns a Core around a decider.
 func NewCoreWith(g Decider, cfg cresspass.Config, now time.Duration) *Core {
-	c := &Core{gateway: g, safe: map[string]bool{}, grace: cfg.Rules.AnswerGrace, now: now,
+	c := &Core{gateway: g, safe: map[string]bool{}, windows: map[string]time.Duration{},
+		grace: cfg.Rules.AnswerGrace, slack: 2 * max(cfg.Tick, TimerTick), now: now,
 		timers: wheel.New[due](now, TimerTick), queries: map[cresspass.QueryID]*query{}}
 	for _, k := range cfg.Classes {
 		c.safe[k.Name] = k.Effect == cresspass.Safe
+		if k.Effect == cresspass.Keyed {
+			c.windows[k.Name] = k.Window
+		}
 	}
 	return c
 }
@@ -216,7 +225,8 @@
 		if c.queries[ev.Query] != nil {
 			return
 		}
-		q := &query{id: ev.Query, deadline: c.now + ev.TimeLeft, safe: c.safe[ev.Class], priority: -1}
+		q := &query{id: ev.Query, deadline: c.now + ev.TimeLeft, safe: c.safe[ev.Class],
+			window: c.windows[ev.Class], priority: -1}
 		c.queries[ev.Query] = q
 		c.stats.Taken++
 		c.timers.Set(q.deadline+c.grace, due{query: q.id, attempt: -1})
@@ -236,8 +246,10 @@
 		if ev.Took == 0 && ev.Outcome != cresspass.OK {
 			ev.Took = c.now - q.out[i].at
 		}
+		if at := q.out[i].at; !ev.Outcome.NeverRan() && (!q.ran || at < q.ranAt) {
+			q.ran, q.ranAt = true, at
+		}
 		q.out = append(q.out[:i], q.out[i+1:]...)
-		q.ran = q.ran || !ev.Outcome.NeverRan()
 		if ev.Finished && !q.ended {
 			if ev.Outcome == cresspass.OK {
 				c.stats.Served++
@@ -351,6 +363,20 @@
 		}
 		return
 	}
+	// Danger: between this decision and the engine lie a wait for a connection and a dial. A repeat that was
+	// inside the window when it was decided on would run twice if it came after it.
+	within := q.deadline - c.now
+	if q.window > 0 {
+		first, ran := q.ranAt, q.ran
+		for _, a := range q.out {
+			if !ran || a.at < first {
+				first, ran = a.at, true
+			}
+		}
+		if ran {
+			within = min(within, first+q.window-c.slack-c.now)
+		}
+	}
 	n := q.starts
 	q.starts++
 	q.out = append(q.out, attempt{number: n, engine: a.Engine, at: c.now})
@@ -362,5 +388,5 @@
 		c.timers.Set(c.now+a.Wait, due{query: q.id, attempt: n})
 	}
 	c.out = append(c.out, Output{Type: Start, Query: q.id, Attempt: n, Engine: a.Engine, Priority: q.priority,
-		MemoryMB: q.memory, Wait: q.deadline - c.now})
+		MemoryMB: q.memory, Wait: q.deadline - c.now, Within: within})
 }
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -44,7 +44,9 @@
 	out      map[int]cresspass.EngineID // started, no outcome reported
 	stopped  map[int]bool
 	doubt    bool
-	last     int // attempt whose outcome came in this batch, plus 1
+	begun    map[int]time.Duration // when each attempt was started
+	ranAt    time.Duration         // the first of those that may have run was
+	last     int                   // attempt whose outcome came in this batch, plus 1
 }
 
 // The contract of Core under any events: attempts are numbered in turn, one end for each query, nothing
@@ -70,8 +72,18 @@
 					if q.class == "unsafe" && q.doubt {
 						t.Fatalf("unsafe query %d: started again after a doubt", o.Query)
 					}
+					// What is written within Within comes inside the client's time, and inside the window of
+					// what may have run before.
+					if o.Within <= 0 || now+o.Within > q.deadline {
+						t.Fatalf("query %d, deadline %v: to begin within %v from %v", o.Query, q.deadline,
+							o.Within, now)
+					}
+					if q.class == "keyed" && q.doubt && now+o.Within >= q.ranAt+time.Second {
+						t.Fatalf("keyed query %d, first ran at %v: again within %v from %v", o.Query, q.ranAt,
+							o.Within, now)
+					}
 					q.next++
-					q.out[o.Attempt] = o.Engine
+					q.out[o.Attempt], q.begun[o.Attempt] = o.Engine, now
 				case Stop:
 					// One whose outcome came later in the same batch may still be named.
 					if _, ok := q.out[o.Attempt]; !ok && q.last != o.Attempt+1 || q.stopped[o.Attempt] {
@@ -101,7 +113,7 @@
 					left := time.Duration(rapid.SampledFrom([]int{3, 100, 1000, 2000}).Draw(t, "left")) * ms
 					ids = append(ids, id)
 					all[id] = &seen{class: class, deadline: now + left, out: map[int]cresspass.EngineID{},
-						stopped: map[int]bool{}}
+						stopped: map[int]bool{}, begun: map[int]time.Duration{}}
 					events = append(events, cresspass.Event{Type: cresspass.QueryTaken, Query: id,
 						Class: class, Key: "k", TimeLeft: left})
 					continue
@@ -138,7 +150,9 @@
 						ev.Finished = true
 						q.ends++
 					}
-					q.doubt = q.doubt || !o.NeverRan()
+					if !o.NeverRan() && (!q.doubt || q.begun[n] < q.ranAt) {
+						q.doubt, q.ranAt = true, q.begun[n]
+					}
 					delete(q.out, n)
 					q.last = n + 1
 					events = append(events, ev)
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -30,6 +30,7 @@
 	grant  string
 	rank   string
 	until  time.Time // the client's wait ends
+	latest time.Time // it must not begin later
 	begun  time.Time
 
 	ctx    context.Context
@@ -136,6 +137,11 @@
 	if step.Type != computenode.Delete && !a.hold(c) {
 		return computenode.Event{Type: computenode.Unreached}, c
 	}
+	if step.Type == computenode.Start {
+		if why, ok := a.mayBegin(); !ok {
+			return computenode.Event{Type: why}, c
+		}
+	}
 	answer, err := a.call(step, c)
 	if err == nil {
 		return computenode.Event{Type: computenode.Answered, Answer: answer}, c
@@ -154,6 +160,19 @@
 	return computenode.Event{Type: computenode.Broken}, nil
 }
 
+// mayBegin looks again, in the moment in which the query is written. Danger: since the module decided, the
+// attempt may have waited for a connection and for a dial, and its client, its compute node or its time may
+// have gone meanwhile.
+func (a *attempt) mayBegin() (computenode.EventType, bool) {
+	switch {
+	case a.s.front.get(a.q.ID) == nil:
+		return computenode.Unwanted, false
+	case !time.Now().Before(a.latest), !a.s.watch.takes(a.engine, a.addr):
+		return computenode.Withheld, false
+	}
+	return 0, true
+}
+
 // call makes a step's call.
 func (a *attempt) call(step computenode.Step, c *nodeConn) (*nodehttp.Answer, error) {
 	path := "/x/" + a.q.Ticket
--- a/internal/platform/crowd.go
+++ b/internal/platform/crowd.go
@@ -17,7 +17,7 @@
 // Of all descriptors.
 const (
 	clientShare = 0.42 // for clients: their front holds a third at most, and strangers come on top
-	spare       = 24   // for all else
+	spare       = 24   // for all else: discovery's connection, the listener, the log, the poller, a file read
 	headShare   = 16   // one in so many is headroom
 	nodesLeast  = 8    // connections to compute nodes, whatever clients do
 )
@@ -30,8 +30,15 @@
 // nodes is how many connections to compute nodes there may be now.
 func (b *budget) nodes() int { return max(b.total-int(b.clients.Load())-b.headroom, nodesLeast) }
 
-// full reports whether clients hold all that is left beside so many connections to compute nodes.
-func (b *budget) full(nodes int) bool { return int(b.clients.Load()) >= b.total-max(nodes, nodesLeast) }
+// urgent is how many connections to compute nodes there may be beyond nodes: of probes, and of calls that
+// give a query up.
+func (b *budget) urgent() int { return b.headroom / 2 }
+
+// full reports whether clients hold all that is left beside so many connections to compute nodes. Danger: a
+// crowd of idle clients would take the descriptors of the urgent calls, and then the one of discovery.
+func (b *budget) full(nodes int) bool {
+	return int(b.clients.Load()) >= b.total-max(nodes, nodesLeast+b.urgent())
+}
 
 // muteFor is how long a connection may say nothing before it counts as one that never will.
 const muteFor = 500 * time.Millisecond
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -168,6 +168,20 @@
 	}
 }
 
+// finish ends all connections: what is still open is answered first.
+func (f *front) finish() {
+	f.mu.Lock()
+	conns := make([]*client, 0, len(f.conns))
+	for _, c := range f.conns {
+		conns = append(conns, c)
+	}
+	f.mu.Unlock()
+	for _, c := range conns {
+		c.spoilt("the dispatcher ends")
+		c.retire()
+	}
+}
+
 // closeAll closes all connections.
 func (f *front) closeAll() {
 	f.mu.Lock()
@@ -231,7 +245,7 @@
 			continue
 		case errors.Is(err, errFrame):
 			c.f.s.unread.Add(1)
-			c.spoilt()
+			c.spoilt("the connection can't be read")
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.overdue()
 		default: // its client has gone
@@ -332,12 +346,12 @@
 	return end
 }
 
-// spoilt ends a connection whose bytes can't be read.
-func (c *client) spoilt() {
+// spoilt ends a connection on which nothing further is read.
+func (c *client) spoilt(reason string) {
 	c.f.mu.Lock()
 	open := c.f.book.Spoilt(c.id)
 	c.f.mu.Unlock()
-	c.fault(open, "the connection can't be read")
+	c.fault(open, reason)
 }
 
 // fault answers and gives up what was open on a connection that ends.
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -119,7 +119,7 @@
 func (p *pool) now() time.Duration { return time.Since(p.zero) }
 
 func (p *pool) limits() slots.Limits {
-	return slots.Limits{Room: p.budget.nodes(), Spare: p.budget.headroom / 2}
+	return slots.Limits{Room: p.budget.nodes(), Spare: p.budget.urgent()}
 }
 
 // want is a call that needs a connection.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"strconv"
@@ -28,9 +29,12 @@
 	newAfterTerm = 650 * time.Millisecond // in which connections and requests still come after SIGTERM
 	waitMost     = 3 * time.Second        // of the longest deadline that the platform waits after SIGTERM
 	answersBy    = 400 * time.Millisecond // after that, all queries must have their answers...
+	lastWords    = 500 * time.Millisecond // ...those that have none, against all expectation, get one...
 	endSlack     = 600 * time.Millisecond // ...and the dispatcher ends; it would be killed at 700 ms
 	lookEvery    = 10 * time.Second       // of the figures in the log
 	sweepEvery   = 500 * time.Millisecond
+	reloadAgain  = 200 * time.Millisecond // before a configuration that can't be read is read again...
+	reloadTries  = 10                     // ...so often: it may be half written
 )
 
 // service is a running dispatcher on the platform.
@@ -124,12 +128,22 @@
 	look, sweep := time.NewTicker(lookEvery), time.NewTicker(sweepEvery)
 	defer look.Stop()
 	defer sweep.Stop()
-	var lastCall, end <-chan time.Time
+	var lastCall, last, end, again <-chan time.Time
+	tries := 0
+	reload := func() {
+		again = nil
+		if tries++; !s.reload() && tries < reloadTries {
+			again = time.After(reloadAgain)
+		}
+	}
 	for {
 		select {
+		case <-again:
+			reload()
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
-				s.reload()
+				tries = 0
+				reload()
 				continue
 			}
 			if end != nil {
@@ -147,6 +161,7 @@
 			// Danger: the platform kills what is still there, and with it queries that nobody then answers.
 			s.loop.Post(cresspass.Event{Type: cresspass.Ending, TimeLeft: longest + answersBy})
 			lastCall, end = time.After(newAfterTerm), time.After(longest+endSlack)
+			last = time.After(max(longest+lastWords, newAfterTerm))
 			sweep.Reset(sweepEvery / 10)
 		case <-lastCall:
 			s.front.lastCall()
@@ -160,6 +175,8 @@
 					return nil
 				}
 			}
+		case <-last:
+			s.front.finish()
 		case <-look.C:
 			s.look()
 		case <-end:
@@ -169,16 +186,22 @@
 	}
 }
 
-// reload reads the configuration again. Danger: a configuration that can't be read must not end the
-// dispatcher.
-func (s *service) reload() {
+// reload reads the configuration again, and reports whether it could be read. Danger: one that can't must not
+// end the dispatcher.
+func (s *service) reload() bool {
 	cfg, err := Load(s.path)
 	if err != nil {
 		s.log.Error("configuration is left as it was", "error", err)
-		return
+		return false
 	}
 	s.log.Info("configuration read again", "board", cfg.Board)
 	s.watch.move(cfg.Board)
+	now, then := cfg.Module, s.cfg.Module
+	now.Seed = then.Seed // new in each file
+	if cfg.Listen != s.cfg.Listen || cfg.Limits != s.cfg.Limits || !reflect.DeepEqual(now, then) {
+		s.log.Warn("listen, limits and settings stay as they were at the start; a restart takes the new ones")
+	}
+	return true
 }
 
 // look writes figures to the log.
@@ -276,6 +299,7 @@
 	}
 	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.Until,
 		begun: time.Now()}
+	a.latest = a.begun.Add(o.Within)
 	if o.MemoryMB > 0 {
 		a.grant = strconv.FormatInt(int64(math.Ceil(o.MemoryMB)), 10)
 	}
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,7 +20,7 @@
 const (
 	quietMost  = 1700 * time.Millisecond // a comment comes each second: more silence than this is a stop
 	boardDial  = 500 * time.Millisecond
-	boardAgain = 50 * time.Millisecond // before the notice board is asked again, doubled each time
+	boardAgain = 50 * time.Millisecond // before the notice board is asked again, see board.Backoff
 	boardMost  = 400 * time.Millisecond
 )
 
@@ -29,6 +30,8 @@
 	asked atomic.Uint64
 	life  context.Context
 	stop  context.CancelFunc // ends run
+	again board.Backoff
+	moved chan struct{} // the address was changed
 
 	mu       sync.Mutex
 	follower *board.Follower
@@ -37,9 +40,11 @@
 }
 
 func newWatcher(s *service, at string) *watcher {
-	w := &watcher{s: s, at: at, follower: board.NewFollower(func(ms int64) time.Duration {
+	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1), follower: board.NewFollower(func(ms int64) time.Duration {
 		return max(s.clock()+time.Until(time.UnixMilli(ms)), 1)
 	})}
+	w.again = board.Backoff{Least: boardAgain, Most: boardMost,
+		Random: rand.New(rand.NewPCG(s.cfg.Module.Seed, 0))}
 	w.life, w.stop = context.WithCancel(context.Background())
 	return w
 }
@@ -50,7 +55,15 @@
 	return w.follower.Addr(engine)
 }
 
-// move has the notice board asked at another address, at once.
+// takes reports whether a compute node at an address takes new queries.
+func (w *watcher) takes(engine cresspass.EngineID, addr string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.follower.Takes(engine, addr)
+}
+
+// move has the notice board asked at another address, at once. Danger: the old address tells nothing more,
+// so neither a call under way nor a pause between calls may go on.
 func (w *watcher) move(at string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -58,31 +71,45 @@
 	if w.cancel != nil {
 		w.cancel()
 	}
+	select {
+	case w.moved <- struct{}{}:
+	default:
+	}
 }
 
 // run asks until stop.
 func (w *watcher) run() {
-	wait := boardAgain
 	for w.life.Err() == nil {
 		ctx, cancel := context.WithCancel(w.life)
 		w.mu.Lock()
 		at, last := w.at, w.follower.Last()
 		w.cancel = cancel
+		select {
+		case <-w.moved: // to the address just read
+		default:
+		}
 		w.mu.Unlock()
 		w.asked.Add(1)
 		heard, err := w.ask(ctx, at, last)
 		moved := ctx.Err() != nil
 		cancel()
 		if heard || moved {
-			wait = boardAgain
+			w.again.Heard()
 		}
-		if err != nil && !moved {
+		if moved {
+			continue
+		}
+		if err != nil {
 			w.s.log.Warn("notice board", "address", at, "from", last, "error", err)
 		}
-		if !moved {
-			time.Sleep(wait)
-			wait = min(wait*2, boardMost)
+		pause := time.NewTimer(w.again.Next())
+		select {
+		case <-pause.C:
+		case <-w.moved:
+			w.again.Heard()
+		case <-w.life.Done():
 		}
+		pause.Stop()
 	}
 }
 
