A class's grant of memory shrinks only where a spill would have been told

Nothing waited for descriptors, no attempt failed; answers became slower, from 1.0 to 2.6 s.

Cause: gateway.go, memoryKnown: each good end cut its class's grant by 1%, and only a note or a told cost raises it. Where neither comes, or a query ends before a note is due, grants fall without a bound (0.1 of the need after 250 queries), and all queries spill.

TestGrantShrinksOnlyOnWord fails on the old code in two of four cases.

--- a/gateway_test.go
+++ b/gateway_test.go
@@ -380,3 +380,40 @@
 		t.Errorf("20 s without an answer: latency %.2f, pressed %v", b.g.list[0].latency, b.g.pressed)
 	}
 }
+
+// TestGrantShrinksOnlyOnWord: a class's grant is cut by queries that would have told of a spill, and by no
+// others.
+func TestGrantShrinksOnlyOnWord(t *testing.T) {
+	for name, c := range map[string]struct {
+		notes  time.Duration
+		took   time.Duration
+		needed float64
+		cut    bool
+	}{
+		"nothing is told":      {took: 3 * time.Second},
+		"ended before a note":  {notes: 2 * time.Second, took: 600 * ms},
+		"a note would be here": {notes: 2 * time.Second, took: 3 * time.Second, cut: true},
+		"costs are told":       {took: 600 * ms, needed: 50, cut: true},
+	} {
+		cfg := plainConfig()
+		cfg.ProgressEvery, cfg.TakesGrants = c.notes, true
+		b := newBench(t, cfg, std("e1"))
+		for id := range QueryID(50) {
+			b.at(0, Event{Type: QueryTaken, Query: id + 1, Class: "short", TimeLeft: 9 * time.Second,
+				MemoryMB: 100})
+			var sent Action
+			for _, a := range b.last {
+				if a.Type == Send {
+					sent = a
+				}
+			}
+			b.now += c.took
+			done := ended(sent, 0, OK, c.took)
+			done.NeededMB = c.needed
+			b.at(0, done)
+		}
+		if got := b.g.classes["short"].grant; (got < grantStart) != c.cut || got > grantStart {
+			t.Errorf("%s: grant %v, started at %v", name, got, grantStart)
+		}
+	}
+}
