A client that takes its answers slowly gets all of them

From reading: client.flush wrote all that waited under one deadline of 2 s, so that a client with much to read was cut off amid its answers, although it went on reading.

Change: the deadline is for each 16 KB; one that takes nothing for 2 s is still cut off. Measured: TestSlowReader; with one deadline for all it fails (661,553 of 944,000 bytes, then the end).

--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -22,7 +22,8 @@
 	speakWithin = 2 * time.Second        // from connecting to the first whole message
 	frameWithin = 2 * time.Second        // from a message's first byte to its last
 	idleMost    = 15 * time.Second       // between messages; clients close after 4 s
-	writeWithin = 2 * time.Second        // until a client takes what was written
+	writeWithin = 2 * time.Second        // until a client takes some more of what is written
+	writeStep   = 16 << 10               // bytes that are some more
 	outMost     = 4 << 20                // bytes that wait for a client that doesn't read
 	readStep    = 8 << 10                // a message grows by this, so that a told length alone costs nothing
 	readAhead   = 1 << 10                // bytes read at once: mostly a whole message
@@ -33,12 +34,13 @@
 
 // client is a connection of a client: the shell of what thriftfront.Book knows of it.
 type client struct {
-	f    *front
-	id   thriftfront.ConnID
-	idle time.Duration // between messages
-	net  *net.TCPConn
-	raw  syscall.RawConn
-	in   *bufio.Reader
+	f     *front
+	id    thriftfront.ConnID
+	idle  time.Duration // between messages
+	stall time.Duration // until some more of what is written is taken
+	net   *net.TCPConn
+	raw   syscall.RawConn
+	in    *bufio.Reader
 
 	mu       sync.Mutex
 	out      []byte
@@ -57,10 +59,11 @@
 	conns  map[thriftfront.ConnID]*client
 	last   thriftfront.ConnID
 	idle   time.Duration // of the connections to come
+	stall  time.Duration // of the connections to come
 }
 
 func newFront(s *service, ln *net.TCPListener, b *budget) *front {
-	return &front{s: s, ln: ln, budget: b, idle: idleMost, book: thriftfront.New(&s.cfg.Module),
+	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin, book: thriftfront.New(&s.cfg.Module),
 		conns: map[thriftfront.ConnID]*client{}}
 }
 
@@ -106,7 +109,7 @@
 		}
 		f.mu.Lock()
 		f.last++
-		cl.id, cl.idle = f.last, f.idle
+		cl.id, cl.idle, cl.stall = f.last, f.idle, f.stall
 		f.conns[cl.id] = cl
 		f.book.Connect(time.Now(), cl.id)
 		f.budget.clients.Store(int32(f.book.Size()))
@@ -379,7 +382,7 @@
 	if !c.flushing {
 		c.shut()
 	} else {
-		c.net.SetReadDeadline(time.Now().Add(writeWithin + lingerFor)) // until flush has shut it
+		c.net.SetReadDeadline(time.Now().Add(idleMost)) // flush shuts it before that
 	}
 }
 
@@ -481,9 +484,15 @@
 			return
 		}
 		c.mu.Unlock()
-		c.net.SetWriteDeadline(time.Now().Add(writeWithin))
-		if _, err := c.net.Write(b); err != nil {
-			c.net.Close()
+		// Danger: a client that reads slowly, and has asked for much, would be cut off in the middle of its
+		// answers if all of them had one deadline.
+		for err := error(nil); len(b) > 0 && err == nil; {
+			step := b[:min(len(b), writeStep)]
+			b = b[len(step):]
+			c.net.SetWriteDeadline(time.Now().Add(c.stall))
+			if _, err = c.net.Write(step); err != nil {
+				c.net.Close()
+			}
 		}
 	}
 }
