Names of the field: discovery, connpool, State, replyError, clientGone

Need: the users' wish; board, slots, Book, raise and gone hid service discovery, a connection pool, state, an error reply and a client's cancellation. No behaviour changes.

--- a/internal/slots/slots.go
+++ b/internal/connpool/connpool.go
@@ -1,8 +1,8 @@
-// Package slots decides who gets which connection to a compute node while there are fewer descriptors than
+// Package connpool decides who gets which connection to a compute node while there are fewer descriptors than
 // calls: a connection that rested, a new one, or a place in a line ordered by when each call must be made at
 // the latest. It does no I/O and reads no clock: what callers want and what became of connections goes in,
 // grants come out.
-package slots
+package connpool
 
 import (
 	"cmp"
@@ -55,8 +55,8 @@
 	rested time.Duration // its last answer was whole then
 }
 
-// Book is who holds and who wants connections. It is for one goroutine at a time.
-type Book struct {
+// Pool is who holds and who wants connections. It is for one goroutine at a time.
+type Pool struct {
 	rest   time.Duration // a connection is left alone so long after an answer
 	keep   time.Duration // an idle connection is kept so long
 	open   int
@@ -67,24 +67,24 @@
 	out    []Grant
 }
 
-// New returns a book without connections. A connection rests for a while after each answer before another
+// New returns a pool without connections. A connection rests for a while after each answer before another
 // call has it, and is closed when it was idle for keep.
-func New(rest, keep time.Duration) *Book {
-	return &Book{rest: rest, keep: keep, free: map[cresspass.EngineID][]idle{}}
+func New(rest, keep time.Duration) *Pool {
+	return &Pool{rest: rest, keep: keep, free: map[cresspass.EngineID][]idle{}}
 }
 
 // Open returns how many connections there are, those that are being made counted in.
-func (b *Book) Open() int { return b.open }
+func (b *Pool) Open() int { return b.open }
 
 // Waiting returns how many wait.
-func (b *Book) Waiting() int { return len(b.line) }
+func (b *Pool) Waiting() int { return len(b.line) }
 
 // Next returns when Settle must be called at the latest, and whether it must.
-func (b *Book) Next() (time.Duration, bool) { return b.settle, b.set }
+func (b *Pool) Next() (time.Duration, bool) { return b.settle, b.set }
 
 // Ask takes a want. Its grant is among those returned, or comes later. The grants are valid until the next
 // call, as for all methods.
-func (b *Book) Ask(now time.Duration, w Want, l Limits) []Grant {
+func (b *Pool) Ask(now time.Duration, w Want, l Limits) []Grant {
 	b.out = b.out[:0]
 	if len(b.line) == 0 || w.Spare {
 		if b.reuse(now, w) || b.dial(w, l) || b.evict(now) && b.dial(w, l) {
@@ -100,14 +100,14 @@
 }
 
 // Leave takes a want out of the line. It returns false where its grant was given already.
-func (b *Book) Leave(id uint64) bool {
+func (b *Pool) Leave(id uint64) bool {
 	n := len(b.line)
 	b.line = slices.DeleteFunc(b.line, func(w Want) bool { return w.ID == id })
 	return len(b.line) < n
 }
 
 // Rest takes back a connection after a whole answer, which leaves it open.
-func (b *Book) Rest(now time.Duration, engine cresspass.EngineID, conn uint64) {
+func (b *Pool) Rest(now time.Duration, engine cresspass.EngineID, conn uint64) {
 	b.free[engine] = append(b.free[engine], idle{conn, now})
 	if len(b.line) > 0 {
 		b.soon(now)
@@ -115,7 +115,7 @@
 }
 
 // Gone tells that a connection which was granted is closed, or did not come up.
-func (b *Book) Gone(l Limits) []Grant {
+func (b *Pool) Gone(l Limits) []Grant {
 	b.out = b.out[:0]
 	b.open--
 	b.newcomers(l)
@@ -123,7 +123,7 @@
 }
 
 // Drop has all idle connections to a compute node closed.
-func (b *Book) Drop(engine cresspass.EngineID, l Limits) []Grant {
+func (b *Pool) Drop(engine cresspass.EngineID, l Limits) []Grant {
 	b.out = b.out[:0]
 	for len(b.free[engine]) > 0 {
 		b.close(engine, 0)
@@ -133,7 +133,7 @@
 }
 
 // Settle closes what was idle for too long, and looks at the whole line.
-func (b *Book) Settle(now time.Duration, l Limits) []Grant {
+func (b *Pool) Settle(now time.Duration, l Limits) []Grant {
 	b.out, b.set = b.out[:0], false
 	for engine, list := range b.free {
 		n := 0
@@ -169,7 +169,7 @@
 	return b.out
 }
 
-func (b *Book) soon(now time.Duration) {
+func (b *Pool) soon(now time.Duration) {
 	if !b.set {
 		b.set, b.settle = true, now+settleEvery
 	}
@@ -177,7 +177,7 @@
 
 // newcomers has who waits make connections, in the line's order, as far as there is room. It reports whether
 // any did.
-func (b *Book) newcomers(l Limits) bool {
+func (b *Pool) newcomers(l Limits) bool {
 	n := 0
 	for n < len(b.line) && b.dial(b.line[n], l) {
 		n++
@@ -187,7 +187,7 @@
 }
 
 // dial grants a new connection, where there is room.
-func (b *Book) dial(w Want, l Limits) bool {
+func (b *Pool) dial(w Want, l Limits) bool {
 	room := l.Room
 	if w.Spare {
 		room += l.Spare
@@ -201,7 +201,7 @@
 }
 
 // reuse grants the youngest connection to the compute node that has rested.
-func (b *Book) reuse(now time.Duration, w Want) bool {
+func (b *Pool) reuse(now time.Duration, w Want) bool {
 	list := b.free[w.Engine]
 	for i := len(list) - 1; i >= 0 && !w.Fresh; i-- {
 		if since := now - list[i].rested; since >= b.rest && since < b.keep {
@@ -214,7 +214,7 @@
 }
 
 // evict closes the connection that has been idle for longest, if it has rested.
-func (b *Book) evict(now time.Duration) bool {
+func (b *Pool) evict(now time.Duration) bool {
 	var engine cresspass.EngineID
 	var oldest *idle
 	for e, list := range b.free {
@@ -230,13 +230,13 @@
 	return true
 }
 
-func (b *Book) close(engine cresspass.EngineID, i int) {
+func (b *Pool) close(engine cresspass.EngineID, i int) {
 	b.out = append(b.out, Grant{Type: Close, Conn: b.free[engine][i].conn})
 	b.remove(engine, i)
 	b.open--
 }
 
-func (b *Book) remove(engine cresspass.EngineID, i int) {
+func (b *Pool) remove(engine cresspass.EngineID, i int) {
 	if list := slices.Delete(b.free[engine], i, i+1); len(list) > 0 {
 		b.free[engine] = list
 	} else {
--- a/internal/slots/slots_test.go
+++ b/internal/connpool/connpool_test.go
@@ -1,4 +1,4 @@
-package slots
+package connpool
 
 import (
 	"fmt"
@@ -16,10 +16,10 @@
 	keep = 3 * time.Second
 )
 
-// shell carries a book's grants out, and holds them against what may be granted.
+// shell carries a pool's grants out, and holds them against what may be granted.
 type shell struct {
 	t       *rapid.T
-	b       *Book
+	b       *Pool
 	now     time.Duration
 	l       Limits
 	asked   map[uint64]Want               // not granted yet
@@ -92,7 +92,7 @@
 	s.do(s.b.Gone(s.l))
 }
 
-// advance lets time pass, with the looks that the book wants and one each 500 ms.
+// advance lets time pass, with the looks that the pool wants and one each 500 ms.
 func (s *shell) advance(to time.Duration) {
 	for {
 		next := s.now - s.now%(500*ms) + 500*ms
--- a/internal/board/backoff.go
+++ b/internal/discovery/backoff.go
@@ -1,4 +1,4 @@
-package board
+package discovery
 
 import (
 	"math/rand/v2"
--- a/internal/board/board.go
+++ b/internal/discovery/discovery.go
@@ -1,7 +1,7 @@
-// Package board follows a notice board: server-sent events, each a numbered change of the list of compute
+// Package discovery follows a notice board (service discovery by a watch): server-sent events, each a numbered change of the list of compute
 // nodes. It does no I/O: bytes go into a Parser, whole events into a Follower, and lists for the module
 // come out.
-package board
+package discovery
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 const Most = 1 << 20
 
 // ErrTooLong tells of an event that passes Most.
-var ErrTooLong = errors.New("board: an event that is too long")
+var ErrTooLong = errors.New("discovery: an event that is too long")
 
 // Event is a whole event. HasID is false where none stood in it.
 type Event struct {
@@ -160,10 +160,10 @@
 func (f *Follower) Take(ev Event) (cresspass.Event, Verdict, error) {
 	var n Notice
 	if err := json.Unmarshal(ev.Data, &n); err != nil {
-		return cresspass.Event{}, Gap, fmt.Errorf("board: event %d: %w", ev.ID, err)
+		return cresspass.Event{}, Gap, fmt.Errorf("discovery: event %d: %w", ev.ID, err)
 	}
 	if ev.HasID && ev.ID != n.Rev {
-		return cresspass.Event{}, Gap, fmt.Errorf("board: event %d says that it is %d", ev.ID, n.Rev)
+		return cresspass.Event{}, Gap, fmt.Errorf("discovery: event %d says that it is %d", ev.ID, n.Rev)
 	}
 	return f.Notice(n)
 }
@@ -187,7 +187,7 @@
 		s := &n.Pool.Servers[i]
 		state, ok := states[s.State]
 		if s.ID == "" || !ok || state == cresspass.EngineOn && s.Addr == "" || s.Weight < 0 {
-			return out, Gap, fmt.Errorf("board: notice %d: compute node %q at %q is %q", n.Rev, s.ID, s.Addr,
+			return out, Gap, fmt.Errorf("discovery: notice %d: compute node %q at %q is %q", n.Rev, s.ID, s.Addr,
 				s.State)
 		}
 		e := cresspass.EngineInfo{ID: cresspass.EngineID(s.ID), State: state, Kind: s.Kind, Zone: s.Zone,
--- a/internal/board/board_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package board
+package discovery
 
 import (
 	"fmt"
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"cresspass"
-	"cresspass/internal/board"
+	"cresspass/internal/discovery"
 	"cresspass/internal/wire"
 )
 
@@ -30,8 +30,8 @@
 	} `json:"limits"`
 	Board string `json:"board"`
 	Known struct {
-		Rev     uint64         `json:"rev"`
-		Notices []board.Notice `json:"notices"`
+		Rev     uint64             `json:"rev"`
+		Notices []discovery.Notice `json:"notices"`
 	} `json:"known"`
 	Settings json.RawMessage `json:"settings"`
 
--- a/internal/platform/ends_test.go
+++ b/internal/platform/ends_test.go
@@ -54,7 +54,7 @@
 	a := r.dial()
 	a.served(1, 1)
 	within(t, "the connection is unused", func() bool { return len(r.unused()) == 1 })
-	r.front.mu.Lock() // its reader can't tell the book of what comes
+	r.front.mu.Lock() // its reader can't tell the state of what comes
 	seq := a.ask(fields(ticket(2), "quick", "2000"))
 	for c := r.only(); !c.unread(); {
 		time.Sleep(time.Millisecond)
@@ -84,7 +84,7 @@
 	r.front.mu.Lock()
 	defer r.front.mu.Unlock()
 	var list []*client
-	for _, id := range r.front.book.Unused() {
+	for _, id := range r.front.state.Unused() {
 		list = append(list, r.front.conns[id])
 	}
 	return list
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -32,7 +32,7 @@
 	roomTries   = 4                      // connections looked at to make room for one
 )
 
-// client is a connection of a client: the shell of what thriftfront.Book knows of it.
+// client is a connection of a client: the shell of what thriftfront.State knows of it.
 type client struct {
 	f     *front
 	id    thriftfront.ConnID
@@ -55,7 +55,7 @@
 	ln     *net.TCPListener
 	budget *budget
 	mu     sync.Mutex
-	book   *thriftfront.Book
+	state  *thriftfront.State
 	conns  map[thriftfront.ConnID]*client
 	last   thriftfront.ConnID
 	idle   time.Duration // of the connections to come
@@ -63,7 +63,7 @@
 }
 
 func newFront(s *service, ln *net.TCPListener, b *budget) *front {
-	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin, book: thriftfront.New(&s.cfg.Module),
+	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin, state: thriftfront.New(&s.cfg.Module),
 		conns: map[thriftfront.ConnID]*client{}}
 }
 
@@ -111,8 +111,8 @@
 		f.last++
 		cl.id, cl.idle, cl.stall = f.last, f.idle, f.stall
 		f.conns[cl.id] = cl
-		f.book.Connect(time.Now(), cl.id)
-		f.budget.clients.Store(int32(f.book.Size()))
+		f.state.Connect(time.Now(), cl.id)
+		f.budget.clients.Store(int32(f.state.Size()))
 		f.mu.Unlock()
 		go cl.read()
 	}
@@ -128,13 +128,13 @@
 // makeRoom is crowded; f.mu is held.
 func (f *front) makeRoom(mute time.Duration) bool {
 	for range roomTries {
-		id, ok := f.book.Victim(time.Now(), mute)
+		id, ok := f.state.Victim(time.Now(), mute)
 		if !ok {
 			return false
 		}
 		c := f.conns[id]
 		if c.unread() { // a message is there that its reader has not come to
-			f.book.Begin(time.Now(), id)
+			f.state.Begin(time.Now(), id)
 			continue
 		}
 		f.forget(id)
@@ -148,8 +148,8 @@
 // forget takes a connection out of the books and returns what was open on it. f.mu is held.
 func (f *front) forget(id thriftfront.ConnID) []*thriftfront.Request {
 	delete(f.conns, id)
-	open := f.book.Closed(id)
-	f.budget.clients.Store(int32(f.book.Size()))
+	open := f.state.Closed(id)
+	f.budget.clients.Store(int32(f.state.Size()))
 	return open
 }
 
@@ -164,8 +164,8 @@
 
 // closeUnused is closeIdle; f.mu is held.
 func (f *front) closeUnused() {
-	for _, id := range f.book.Unused() {
-		if c := f.conns[id]; !c.unread() && f.book.Retire(id) {
+	for _, id := range f.state.Unused() {
+		if c := f.conns[id]; !c.unread() && f.state.Retire(id) {
 			c.retire()
 		}
 	}
@@ -197,21 +197,21 @@
 func (f *front) size() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.book.Size()
+	return f.state.Size()
 }
 
 // open returns how many requests have no answer yet.
 func (f *front) open() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.book.Open()
+	return f.state.Open()
 }
 
 // get returns a request that has no answer yet; nil: there is none of that id.
 func (f *front) get(id cresspass.QueryID) *thriftfront.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.book.Get(id)
+	return f.state.Get(id)
 }
 
 // read takes the client's messages until its connection ends. It alone closes the connection, but for one
@@ -288,7 +288,7 @@
 }
 
 // await waits until something is there to be read, and leaves it there. Danger: bytes that were read out of
-// the socket before the book knows of them would be lost with a connection that is closed as unused.
+// the socket before the state knows of them would be lost with a connection that is closed as unused.
 func (c *client) await() error {
 	if c.in.Buffered() > 0 {
 		return nil
@@ -324,11 +324,11 @@
 	return some
 }
 
-// begin tells the book that a message has begun to come.
+// begin tells the state that a message has begun to come.
 func (c *client) begin() bool {
 	c.f.mu.Lock()
 	defer c.f.mu.Unlock()
-	return c.f.book.Begin(time.Now(), c.id)
+	return c.f.state.Begin(time.Now(), c.id)
 }
 
 // patience is how long the client may take, unless its connection was retired.
@@ -340,10 +340,10 @@
 	}
 }
 
-// overdue has the book judge a connection on which nothing more came in time. It reports whether it ends.
+// overdue has the state judge a connection on which nothing more came in time. It reports whether it ends.
 func (c *client) overdue() bool {
 	c.f.mu.Lock()
-	open, end := c.f.book.Overdue(c.id)
+	open, end := c.f.state.Overdue(c.id)
 	c.f.mu.Unlock()
 	c.fault(open, "the request did not come whole in time")
 	return end
@@ -352,7 +352,7 @@
 // spoilt ends a connection on which nothing further is read.
 func (c *client) spoilt(reason string) {
 	c.f.mu.Lock()
-	open := c.f.book.Spoilt(c.id)
+	open := c.f.state.Spoilt(c.id)
 	c.f.mu.Unlock()
 	c.fault(open, reason)
 }
@@ -362,14 +362,14 @@
 	var b []byte
 	for _, q := range open {
 		b = append(b, thriftfront.Fault(q.Seq, reason)...)
-		c.f.s.gone(q)
+		c.f.s.clientGone(q)
 	}
 	if len(open) > 0 {
 		c.send(b, len(open))
 	}
 }
 
-// retire has a connection end on which the book takes nothing more: it is shut for writing once all answers
+// retire has a connection end on which the state takes nothing more: it is shut for writing once all answers
 // are written, and what still comes is thrown away until the client closes. Danger: a close over unread bytes
 // resets the connection, and the last answers are lost with it.
 func (c *client) retire() {
@@ -405,9 +405,9 @@
 
 // take handles a message. It returns false where the connection can't be read any further.
 func (c *client) take(frame []byte) bool {
-	s, m := c.f.s, c.f.book.Read(frame)
+	s, m := c.f.s, c.f.state.Read(frame)
 	c.f.mu.Lock()
-	v := c.f.book.Message(time.Now(), c.id, m)
+	v := c.f.state.Message(time.Now(), c.id, m)
 	if v.Taken != nil { // posted under the lock: what its client takes back at once must come after it
 		s.loop.Post(v.Event)
 	}
@@ -419,7 +419,7 @@
 		c.send(v.Say, 1)
 	}
 	if v.Back != nil {
-		s.gone(v.Back)
+		s.clientGone(v.Back)
 	}
 	return !v.End
 }
@@ -458,11 +458,11 @@
 	c.written(written)
 }
 
-// written tells the book of messages that have left.
+// written tells the state of messages that have left.
 func (c *client) written(n int) {
 	if n > 0 {
 		c.f.mu.Lock()
-		c.f.book.Written(time.Now(), c.id, n)
+		c.f.state.Written(time.Now(), c.id, n)
 		c.f.mu.Unlock()
 	}
 }
@@ -504,14 +504,14 @@
 	c.f.mu.Unlock()
 	c.net.Close()
 	for _, q := range open {
-		c.f.s.gone(q)
+		c.f.s.clientGone(q)
 	}
 }
 
 // answer writes a request's one answer. It returns false where the request has ended already.
 func (f *front) answer(id cresspass.QueryID, message func(seq int32) []byte) bool {
 	f.mu.Lock()
-	to, ok := f.book.Answer(time.Now(), id)
+	to, ok := f.state.Answer(time.Now(), id)
 	c := f.conns[to.Conn]
 	f.mu.Unlock()
 	if ok {
@@ -527,8 +527,8 @@
 	})
 }
 
-// raise ends a request without a result; later is the come-back time of a refusal, 0: none.
-func (f *front) raise(id cresspass.QueryID, which uint16, later time.Duration) {
+// replyError ends a request without a result; later is the come-back time of a refusal, 0: none.
+func (f *front) replyError(id cresspass.QueryID, which uint16, later time.Duration) {
 	f.answer(id, func(seq int32) []byte {
 		var fields [][2]string
 		if later > 0 {
--- a/internal/platform/late_test.go
+++ b/internal/platform/late_test.go
@@ -14,7 +14,7 @@
 	"pgregory.net/rapid"
 
 	"cresspass"
-	"cresspass/internal/board"
+	"cresspass/internal/discovery"
 	"cresspass/internal/dispatch"
 	"cresspass/internal/thrift"
 )
@@ -103,7 +103,7 @@
 	a := r.dial()
 	seq := r.held(a, 1)
 	r.front.mu.Lock()
-	q := *r.front.book.Get(1)
+	q := *r.front.state.Get(1)
 	r.front.mu.Unlock()
 	q.Ticket = ticket(2)
 	was := r.node.count("POST")
@@ -141,7 +141,7 @@
 	const fleet, tries = 300, 6
 	var at []time.Duration
 	for i := range fleet {
-		b := board.Backoff{Least: boardAgain, Most: boardMost, Random: rand.New(rand.NewPCG(uint64(i), 0))}
+		b := discovery.Backoff{Least: boardAgain, Most: boardMost, Random: rand.New(rand.NewPCG(uint64(i), 0))}
 		var sum time.Duration
 		for range tries {
 			d := b.Next()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -253,7 +253,7 @@
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	most := r.pool.budget.nodes()
-	if b := r.pool.book; b.Open() > most || b.Waiting() != 0 || r.pool.dials > asks*2/3 {
+	if b := r.pool.state; b.Open() > most || b.Waiting() != 0 || r.pool.dials > asks*2/3 {
 		t.Errorf("%d open of %d, %d wait, %d dials", b.Open(), most, b.Waiting(), r.pool.dials)
 	}
 }
@@ -332,7 +332,7 @@
 	within(t, "it is leaving", func() bool {
 		r.front.mu.Lock()
 		defer r.front.mu.Unlock()
-		return r.front.book.Leaving()
+		return r.front.state.Leaving()
 	})
 	r.dial().served(2, 1)
 	if h := a.hear(); h.kind != "shed" {
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -10,8 +10,8 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/connpool"
 	"cresspass/internal/nodehttp"
-	"cresspass/internal/slots"
 )
 
 // restFor is how long a connection is left alone after an answer. Danger: a compute node may send a second
@@ -29,7 +29,7 @@
 
 // nodeConn is a connection to a compute node, for one call at a time.
 type nodeConn struct {
-	number uint64 // in the pool's book
+	number uint64 // in the pool's state
 	engine cresspass.EngineID
 	addr   string
 	net    net.Conn
@@ -91,18 +91,18 @@
 	return a, err
 }
 
-// pool holds the connections to all compute nodes: the shell of a slots.Book.
+// pool holds the connections to all compute nodes: the shell of a connpool.Pool.
 type pool struct {
 	budget  *budget
 	connect time.Duration // time-out
-	zero    time.Time     // of the book's clock
+	zero    time.Time     // of the state's clock
 
 	mu            sync.Mutex
-	book          *slots.Book
+	state         *connpool.Pool
 	idle          map[uint64]*nodeConn
-	wait          map[uint64]chan slots.Grant
+	wait          map[uint64]chan connpool.Grant
 	last          uint64      // number of a connection or a want
-	settle        *time.Timer // of the book's next look
+	settle        *time.Timer // of the state's next look
 	closed        bool
 	dials, reused uint64
 	crowded       uint64
@@ -111,15 +111,15 @@
 
 func newPool(b *budget, connect, idle time.Duration) *pool {
 	p := &pool{budget: b, connect: connect, zero: time.Now(), idle: map[uint64]*nodeConn{},
-		book: slots.New(restFor, time.Duration(sparse*float64(idle))), wait: map[uint64]chan slots.Grant{}}
+		state: connpool.New(restFor, time.Duration(sparse*float64(idle))), wait: map[uint64]chan connpool.Grant{}}
 	p.settle = time.AfterFunc(time.Hour, p.sweep)
 	return p
 }
 
 func (p *pool) now() time.Duration { return time.Since(p.zero) }
 
-func (p *pool) limits() slots.Limits {
-	return slots.Limits{Room: p.budget.nodes(), Spare: p.budget.urgent()}
+func (p *pool) limits() connpool.Limits {
+	return connpool.Limits{Room: p.budget.nodes(), Spare: p.budget.urgent()}
 }
 
 // want is a call that needs a connection.
@@ -139,7 +139,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if g.Type == slots.Dial {
+		if g.Type == connpool.Dial {
 			return p.dial(ctx, w)
 		}
 		p.mu.Lock()
@@ -155,14 +155,14 @@
 }
 
 // ask waits for a grant.
-func (p *pool) ask(ctx context.Context, w want) (slots.Grant, error) {
-	got := make(chan slots.Grant, 1)
+func (p *pool) ask(ctx context.Context, w want) (connpool.Grant, error) {
+	got := make(chan connpool.Grant, 1)
 	p.mu.Lock()
 	p.last++
 	id := p.last
 	p.wait[id] = got
 	begun := p.now()
-	p.do(p.book.Ask(begun, slots.Want{ID: id, Engine: w.engine, Fresh: w.fresh, Spare: w.spare,
+	p.do(p.state.Ask(begun, connpool.Want{ID: id, Engine: w.engine, Fresh: w.fresh, Spare: w.spare,
 		Due: w.due.Sub(p.zero)}, p.limits()))
 	if p.wait[id] != nil {
 		p.crowded++
@@ -184,23 +184,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.wait, id)
-	if !p.book.Leave(id) { // the grant crossed
+	if !p.state.Leave(id) { // the grant crossed
 		switch g := <-got; g.Type {
-		case slots.Reuse:
+		case connpool.Reuse:
 			c := p.idle[g.Conn]
 			delete(p.idle, g.Conn)
 			p.rest(c)
-		case slots.Dial:
-			p.do(p.book.Gone(p.limits()))
+		case connpool.Dial:
+			p.do(p.state.Gone(p.limits()))
 		}
 	}
-	return slots.Grant{}, errNoSlot
+	return connpool.Grant{}, errNoSlot
 }
 
 // do carries out grants. p.mu is held.
-func (p *pool) do(grants []slots.Grant) {
+func (p *pool) do(grants []connpool.Grant) {
 	for _, g := range grants {
-		if g.Type == slots.Close {
+		if g.Type == connpool.Close {
 			p.idle[g.Conn].net.Close()
 			delete(p.idle, g.Conn)
 			continue
@@ -208,7 +208,7 @@
 		p.wait[g.Want] <- g
 		delete(p.wait, g.Want)
 	}
-	if at, ok := p.book.Next(); ok && !p.closed {
+	if at, ok := p.state.Next(); ok && !p.closed {
 		p.settle.Reset(max(at-p.now(), 0))
 	}
 }
@@ -225,7 +225,7 @@
 	defer p.mu.Unlock()
 	p.dials++
 	if err != nil {
-		p.do(p.book.Gone(p.limits()))
+		p.do(p.state.Gone(p.limits()))
 		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			return nil, errNoSlot // danger: it tells nothing of the compute node
 		}
@@ -246,13 +246,13 @@
 		return
 	}
 	c.net.Close()
-	p.do(p.book.Gone(p.limits()))
+	p.do(p.state.Gone(p.limits()))
 }
 
 // rest makes a connection idle. p.mu is held.
 func (p *pool) rest(c *nodeConn) {
 	p.idle[c.number] = c
-	p.book.Rest(p.now(), c.engine, c.number)
+	p.state.Rest(p.now(), c.engine, c.number)
 	p.do(nil)
 }
 
@@ -260,14 +260,14 @@
 func (p *pool) wanted() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.book.Waiting() > 0
+	return p.state.Waiting() > 0
 }
 
 // closeIdle closes the idle connections to a compute node.
 func (p *pool) closeIdle(engine cresspass.EngineID) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.do(p.book.Drop(engine, p.limits()))
+	p.do(p.state.Drop(engine, p.limits()))
 }
 
 // closeAll closes all idle connections; the pool keeps none any more.
@@ -277,14 +277,14 @@
 	p.closed = true
 	p.settle.Stop()
 	for _, c := range p.idle {
-		p.do(p.book.Drop(c.engine, p.limits()))
+		p.do(p.state.Drop(c.engine, p.limits()))
 	}
 }
 
 func (p *pool) size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.book.Open()
+	return p.state.Open()
 }
 
 // sweep closes what has been idle for too long and looks at who waits.
@@ -292,6 +292,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.closed {
-		p.do(p.book.Settle(p.now(), p.limits()))
+		p.do(p.state.Settle(p.now(), p.limits()))
 	}
 }
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"cresspass"
-	"cresspass/internal/board"
+	"cresspass/internal/discovery"
 	"cresspass/internal/dispatch"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
@@ -105,7 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if v == board.Taken {
+		if v == discovery.Taken {
 			if ev.Listing == cresspass.ListFull {
 				ev.Listing = cresspass.ListCached
 			}
@@ -151,7 +151,7 @@
 			}
 			s.log.Info("leaving", "signal", sig.String())
 			s.front.mu.Lock()
-			s.front.book.Leave()
+			s.front.state.Leave()
 			s.front.mu.Unlock()
 			longest := time.Duration(0)
 			for _, c := range s.cfg.Module.Classes {
@@ -208,7 +208,7 @@
 func (s *service) look() {
 	st := s.stats()
 	s.pool.mu.Lock()
-	open, waiting := s.pool.book.Open(), s.pool.book.Waiting()
+	open, waiting := s.pool.state.Open(), s.pool.state.Waiting()
 	dials, reused, crowded, longest := s.pool.dials, s.pool.reused, s.pool.crowded, s.pool.longest
 	s.pool.longest = 0
 	s.pool.mu.Unlock()
@@ -242,8 +242,8 @@
 	s.pool.closeAll()
 }
 
-// gone ends a request for which nobody waits.
-func (s *service) gone(q *thriftfront.Request) {
+// clientGone ends a request for which nobody waits.
+func (s *service) clientGone(q *thriftfront.Request) {
 	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.ID, Outcome: cresspass.Cancelled})
 }
 
@@ -268,9 +268,9 @@
 			a.stop(o.Outcome)
 		}
 	case dispatch.Refuse:
-		s.front.raise(o.Query, thrift.Shed, o.Wait)
+		s.front.replyError(o.Query, thrift.Shed, o.Wait)
 	case dispatch.Fail:
-		s.front.raise(o.Query, thrift.Fault, 0)
+		s.front.replyError(o.Query, thrift.Fault, 0)
 	case dispatch.Probe:
 		if addr := s.watch.addr(o.Engine); addr != "" {
 			go s.probe(o.Engine, addr)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -14,13 +14,13 @@
 	"time"
 
 	"cresspass"
-	"cresspass/internal/board"
+	"cresspass/internal/discovery"
 )
 
 const (
 	quietMost  = 1700 * time.Millisecond // a comment comes each second: more silence than this is a stop
 	boardDial  = 500 * time.Millisecond
-	boardAgain = 50 * time.Millisecond // before the notice board is asked again, see board.Backoff
+	boardAgain = 50 * time.Millisecond // before the notice board is asked again, see discovery.Backoff
 	boardMost  = 400 * time.Millisecond
 )
 
@@ -30,20 +30,20 @@
 	asked atomic.Uint64
 	life  context.Context
 	stop  context.CancelFunc // ends run
-	again board.Backoff
+	again discovery.Backoff
 	moved chan struct{} // the address was changed
 
 	mu       sync.Mutex
-	follower *board.Follower
+	follower *discovery.Follower
 	at       string
 	cancel   context.CancelFunc // of the call under way
 }
 
 func newWatcher(s *service, at string) *watcher {
-	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1), follower: board.NewFollower(func(ms int64) time.Duration {
+	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1), follower: discovery.NewFollower(func(ms int64) time.Duration {
 		return max(s.clock()+time.Until(time.UnixMilli(ms)), 1)
 	})}
-	w.again = board.Backoff{Least: boardAgain, Most: boardMost,
+	w.again = discovery.Backoff{Least: boardAgain, Most: boardMost,
 		Random: rand.New(rand.NewPCG(s.cfg.Module.Seed, 0))}
 	w.life, w.stop = context.WithCancel(context.Background())
 	return w
@@ -147,7 +147,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("answered %s", resp.Status)
 	}
-	var p board.Parser
+	var p discovery.Parser
 	b := make([]byte, 8<<10)
 	for {
 		n, err := resp.Body.Read(b)
@@ -156,7 +156,7 @@
 		}
 		alive()
 		var bad error
-		if e := p.Feed(b[:n], func(ev board.Event) {
+		if e := p.Feed(b[:n], func(ev discovery.Event) {
 			if bad == nil {
 				bad = w.take(ev)
 			}
@@ -177,19 +177,19 @@
 }
 
 // take hands an event on.
-func (w *watcher) take(ev board.Event) error {
+func (w *watcher) take(ev discovery.Event) error {
 	w.mu.Lock()
 	list, v, err := w.follower.Take(ev)
 	gone := w.follower.Gone()
 	// Danger: posted under the lock, or lists of two calls could cross.
-	if err == nil && v == board.Taken {
+	if err == nil && v == discovery.Taken {
 		w.s.loop.Post(list)
 	}
 	w.mu.Unlock()
 	for _, id := range gone {
 		w.s.pool.closeIdle(id)
 	}
-	if err == nil && v == board.Gap {
+	if err == nil && v == discovery.Gap {
 		err = errors.New("events are missing")
 	}
 	return err
--- a/internal/thriftfront/front.go
+++ b/internal/thriftfront/front.go
@@ -51,8 +51,8 @@
 	last    time.Time
 }
 
-// Book is the state of the front. It is for one goroutine at a time.
-type Book struct {
+// State is the state of the front. It is for one goroutine at a time.
+type State struct {
 	classes map[string]cresspass.Effect
 	conns   map[ConnID]*conn
 	asks    map[cresspass.QueryID]*Request
@@ -62,8 +62,8 @@
 }
 
 // New returns a front without connections.
-func New(cfg *cresspass.Config) *Book {
-	b := &Book{classes: map[string]cresspass.Effect{}, conns: map[ConnID]*conn{},
+func New(cfg *cresspass.Config) *State {
+	b := &State{classes: map[string]cresspass.Effect{}, conns: map[ConnID]*conn{},
 		asks: map[cresspass.QueryID]*Request{}, tickets: map[string]*Request{}}
 	for _, c := range cfg.Classes {
 		b.classes[c.Name] = c.Effect
@@ -72,28 +72,28 @@
 }
 
 // Size returns how many connections there are.
-func (b *Book) Size() int { return len(b.conns) }
+func (b *State) Size() int { return len(b.conns) }
 
 // Open returns how many requests have no answer yet.
-func (b *Book) Open() int { return len(b.asks) }
+func (b *State) Open() int { return len(b.asks) }
 
 // Get returns a request that has no answer yet; nil: there is none of that id.
-func (b *Book) Get(id cresspass.QueryID) *Request { return b.asks[id] }
+func (b *State) Get(id cresspass.QueryID) *Request { return b.asks[id] }
 
 // Leave has alive be answered with false from now on.
-func (b *Book) Leave() { b.leaving = true }
+func (b *State) Leave() { b.leaving = true }
 
 // Leaving reports whether Leave was called.
-func (b *Book) Leaving() bool { return b.leaving }
+func (b *State) Leaving() bool { return b.leaving }
 
 // Connect takes a new connection.
-func (b *Book) Connect(now time.Time, id ConnID) {
+func (b *State) Connect(now time.Time, id ConnID) {
 	b.conns[id] = &conn{open: map[int32]*Request{}, last: now}
 }
 
 // Begin tells that the first byte of a message is there. It returns false where nothing more is taken.
 // Danger: until the last byte came nothing is open, yet a connection closed now takes the request with it.
-func (b *Book) Begin(now time.Time, id ConnID) bool {
+func (b *State) Begin(now time.Time, id ConnID) bool {
 	c := b.conns[id]
 	if c == nil || c.ending {
 		return false
@@ -113,7 +113,7 @@
 
 // Read reads a whole frame, without its length; the message points into it. It looks at nothing that
 // changes. Danger: read with the state at hand, a long statement of one client would keep all others waiting.
-func (b *Book) Read(frame []byte) (m Message) {
+func (b *State) Read(frame []byte) (m Message) {
 	if m.request, m.unread = thrift.ParseRequest(frame); m.unread == nil && m.request.Name == "dispatch" {
 		m.event, m.terms, m.fault = read(b.classes, &m.request)
 	}
@@ -122,7 +122,7 @@
 
 // Message takes a message. Where a request is at fault its client is told why; where the message can't be
 // read, or after Spoilt, the connection is at its end. Nothing of the frame is kept.
-func (b *Book) Message(now time.Time, id ConnID, m Message) (v Verdict) {
+func (b *State) Message(now time.Time, id ConnID, m Message) (v Verdict) {
 	c := b.conns[id]
 	if c == nil || c.ending {
 		return Verdict{End: true}
@@ -165,7 +165,7 @@
 }
 
 // admit takes a request into the books, or says why it can't be taken.
-func (b *Book) admit(now time.Time, id ConnID, c *conn, m *Message) (*Request, cresspass.Event, error) {
+func (b *State) admit(now time.Time, id ConnID, c *conn, m *Message) (*Request, cresspass.Event, error) {
 	seq, ev, t, err := m.request.Seq, m.event, m.terms, m.fault
 	switch {
 	case err != nil:
@@ -188,7 +188,7 @@
 	return q, ev, nil
 }
 
-func (b *Book) end(c *conn, q *Request) {
+func (b *State) end(c *conn, q *Request) {
 	delete(c.open, q.Seq)
 	delete(b.asks, q.ID)
 	delete(b.tickets, q.Ticket)
@@ -196,7 +196,7 @@
 
 // Answer hands out the right to answer a request: it has one answer at most. Written is owed once the answer
 // has left. Danger: until then the connection is in use, although nothing may be open on it.
-func (b *Book) Answer(now time.Time, id cresspass.QueryID) (Place, bool) {
+func (b *State) Answer(now time.Time, id cresspass.QueryID) (Place, bool) {
 	q := b.asks[id]
 	if q == nil {
 		return Place{}, false
@@ -209,7 +209,7 @@
 }
 
 // Written tells that so many messages, of those that were handed out for a connection, have left.
-func (b *Book) Written(now time.Time, id ConnID, n int) {
+func (b *State) Written(now time.Time, id ConnID, n int) {
 	if c := b.conns[id]; c != nil {
 		c.writing, c.last = c.writing-n, now
 	}
@@ -217,7 +217,7 @@
 
 // Spoilt ends a connection whose bytes can't be read: all that is open on it is to be answered with Fault,
 // and given up. The connection stays until Closed.
-func (b *Book) Spoilt(id ConnID) (open []*Request) {
+func (b *State) Spoilt(id ConnID) (open []*Request) {
 	if c := b.conns[id]; c != nil {
 		open = b.endAll(c)
 		c.ending = true
@@ -229,7 +229,7 @@
 // Overdue tells that nothing more came on a connection in the time for it. A silent one with nothing open is
 // retired, one that stopped in the middle of a message is Spoilt. Danger: a client that waits for answers
 // says nothing, for as long as its queries run, and its connection must stay.
-func (b *Book) Overdue(id ConnID) (open []*Request, end bool) {
+func (b *State) Overdue(id ConnID) (open []*Request, end bool) {
 	c := b.conns[id]
 	switch {
 	case c == nil:
@@ -243,7 +243,7 @@
 // Retire has nothing further taken on a connection that is to be closed. It returns false where the
 // connection is in use. Danger: a request that comes after its answers can no longer be written must not be
 // sent on.
-func (b *Book) Retire(id ConnID) bool {
+func (b *State) Retire(id ConnID) bool {
 	c := b.conns[id]
 	if c == nil || c.inUse() {
 		return false
@@ -253,7 +253,7 @@
 }
 
 // Closed forgets a connection, and returns what was open on it: nobody waits for that any more.
-func (b *Book) Closed(id ConnID) (open []*Request) {
+func (b *State) Closed(id ConnID) (open []*Request) {
 	if c := b.conns[id]; c != nil {
 		open = b.endAll(c)
 		delete(b.conns, id)
@@ -261,7 +261,7 @@
 	return open
 }
 
-func (b *Book) endAll(c *conn) (open []*Request) {
+func (b *State) endAll(c *conn) (open []*Request) {
 	for _, q := range c.open {
 		open = append(open, q)
 		b.end(c, q)
@@ -271,7 +271,7 @@
 
 // Unused returns the connections on which nothing is open, nothing is being written and nothing has begun to
 // come.
-func (b *Book) Unused() (ids []ConnID) {
+func (b *State) Unused() (ids []ConnID) {
 	for id, c := range b.conns {
 		if !c.inUse() && !c.partly {
 			ids = append(ids, id)
@@ -287,7 +287,7 @@
 // to go on. It returns false where none can go. Danger: of all
 // connections the newest are the ones on which a first request is just on its way, and it fails with them;
 // a client that has used its connection notices a close and asks again.
-func (b *Book) Victim(now time.Time, mute time.Duration) (ConnID, bool) {
+func (b *State) Victim(now time.Time, mute time.Duration) (ConnID, bool) {
 	var best *conn
 	var which ConnID
 	for id, c := range b.conns {
