--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -11,6 +11,7 @@
 	"reflect"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -220,7 +221,16 @@
 		"longest", longest,
 		"spoilt", s.spoilt.Load(), "broken", s.broken.Load(), "unread", s.unread.Load(),
 		"shut", s.shut.Load(), "lag", s.loop.Lag(),
-		"board", s.watch.asked.Load())
+		"board", s.watch.asked.Load(), "goroutines", runtime.NumGoroutine(), "heap", heapBytes())
+}
+
+// heapBytes is how much memory the heap holds.
+func heapBytes() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	if metrics.Read(sample); sample[0].Value.Kind() != metrics.KindUint64 {
+		return 0
+	}
+	return sample[0].Value.Uint64()
 }
 
 func (s *service) stats() (st dispatch.Stats) {
