A query of which not a byte left goes on a fresh connection; more orders forced by tests

Seen in the code: nodeConn.call took every failed write for one that may have come, so that a query whose resting connection was closed in that moment was asked about and, of an unsafe class, failed although nothing ran.

Change: where the system took no byte the query goes on a fresh connection to the same compute node; where it took some, it is asked about as before. Measured: TestClosedAtReuse (fails on the old code with one question more). TestMoveAmidAnEvent and TestCancelWithItsRequest force orders that held already.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -127,37 +127,44 @@
 		defer cancel()
 	}
 	sleep(ctx, step.Pause)
-	if c == nil {
-		var err error
-		w := want{a.engine, a.addr, step.Fresh, step.Type == computenode.Delete, a.begun.Add(step.Due)}
-		if c, err = a.s.pool.get(ctx, w); err != nil {
-			return computenode.Event{Type: unreached(err)}, nil
+	w := want{a.engine, a.addr, step.Fresh, step.Type == computenode.Delete, a.begun.Add(step.Due)}
+	for {
+		if c == nil {
+			var err error
+			if c, err = a.s.pool.get(ctx, w); err != nil {
+				return computenode.Event{Type: unreached(err)}, nil
+			}
 		}
-	}
-	if step.Type != computenode.Delete && !a.hold(c) {
-		return computenode.Event{Type: computenode.Unreached}, c
-	}
-	if step.Type == computenode.Start {
-		if why, ok := a.mayBegin(); !ok {
-			return computenode.Event{Type: why}, c
+		if step.Type != computenode.Delete && !a.hold(c) {
+			return computenode.Event{Type: computenode.Unreached}, c
 		}
-	}
-	answer, err := a.call(step, c)
-	if err == nil {
-		return computenode.Event{Type: computenode.Answered, Answer: answer}, c
-	}
-	a.hold(nil)
-	a.s.pool.put(c, false)
-	if errors.Is(err, errUnsure) { // nothing was written
-		return computenode.Event{Type: computenode.Unreached}, nil
-	}
-	if step.Type != computenode.Delete {
-		a.s.broken.Add(1)
-		if errors.Is(err, nodehttp.ErrSpoilt) {
-			a.s.spoilt.Add(1)
+		if step.Type == computenode.Start {
+			if why, ok := a.mayBegin(); !ok {
+				return computenode.Event{Type: why}, c
+			}
+		}
+		used := !c.rested.IsZero()
+		answer, err := a.call(step, c)
+		if err == nil {
+			return computenode.Event{Type: computenode.Answered, Answer: answer}, c
+		}
+		a.hold(nil)
+		a.s.pool.put(c, false)
+		if c = nil; errors.Is(err, errUnsure) { // nothing was written
+			if used && ctx.Err() == nil { // its compute node closed it in this moment
+				w.fresh = true
+				continue
+			}
+			return computenode.Event{Type: computenode.Unreached}, nil
+		}
+		if step.Type != computenode.Delete {
+			a.s.broken.Add(1)
+			if errors.Is(err, nodehttp.ErrSpoilt) {
+				a.s.spoilt.Add(1)
+			}
 		}
+		return computenode.Event{Type: computenode.Broken}, nil
 	}
-	return computenode.Event{Type: computenode.Broken}, nil
 }
 
 // mayBegin looks again, in the moment in which the query is written. Danger: since the module decided, the
--- a/internal/platform/late_test.go
+++ b/internal/platform/late_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"io"
 	"math/rand/v2"
 	"net"
 	"os"
@@ -117,6 +118,99 @@
 	a.net.Write(thrift.AppendCancel(nil, 99, seq))
 }
 
+// cutConn takes so many bytes of a write and is then found closed.
+type cutConn struct {
+	net.Conn
+	after int
+}
+
+func (c *cutConn) Write(b []byte) (int, error) {
+	n, _ := c.Conn.Write(b[:c.after])
+	c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Conn.Close()
+	return n, syscall.EPIPE
+}
+
+// TestClosedAtReuse: a resting connection that its compute node closed in the moment of its use costs nothing
+// where not a byte had left; where some had, the query may have run and is asked about.
+func TestClosedAtReuse(t *testing.T) {
+	for after, asks := range map[int]int{0: 0, 20: 1} {
+		r := newRig(t, 256)
+		a := r.dial()
+		a.served(1, 1)
+		r.pool.mu.Lock()
+		for _, c := range r.pool.idle {
+			c.net = &cutConn{c.net, after}
+		}
+		n := len(r.pool.idle)
+		r.pool.mu.Unlock()
+		if n != 1 {
+			t.Fatalf("%d resting connections", n)
+		}
+		time.Sleep(2 * restFor) // it is used again only after that
+		a.served(2, 1)
+		if got := r.node.count("GET 0 " + ticket(2)); got != asks {
+			t.Errorf("cut after %d bytes: asked about %d times, want %d", after, got, asks)
+		}
+		if n := r.ends(cresspass.ConnectFailed) + r.ends(cresspass.Reset); n != 0 {
+			t.Errorf("cut after %d bytes: %d attempts count against the compute node", after, n)
+		}
+	}
+}
+
+// TestMoveAmidAnEvent: the new address is asked from the last whole event, whether the old one stopped before
+// its answer or in the middle of an event; the half event is forgotten.
+func TestMoveAmidAnEvent(t *testing.T) {
+	for name, text := range map[string]string{
+		"no answer":     "",
+		"half an event": "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: {\"rev\":2,",
+	} {
+		r := newRig(t, 256)
+		old, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer old.Close()
+		r.watch.move(old.Addr().String())
+		c, err := old.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := c.Read(make([]byte, 16)); err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		moved := newNotices(t)
+		moved.add(true, "s-1", address(r.node.Server), "up")
+		moved.add(false, "s-2", address(r.node.Server), "up")
+		r.watch.move(address(moved.Server))
+		within(t, "the new list is known", func() bool { return r.watch.addr("s-2") != "" })
+		if asked := moved.asked(); asked[0] != "1" {
+			t.Errorf("%s: the new address was asked from %v", name, asked)
+		}
+	}
+}
+
+// TestCancelWithItsRequest: taken back in the segment that brings it, a request gets no answer; a number that
+// is not open can be taken back before and after without harm.
+func TestCancelWithItsRequest(t *testing.T) {
+	r := newRig(t, 256)
+	a := r.dial()
+	b := thrift.AppendCancel(nil, 1, 7)
+	b = thrift.AppendDispatch(b, 7, fields(ticket(1), "quick", "2000"), []byte("SELECT 1"))
+	b = thrift.AppendCancel(b, 8, 7)
+	a.net.Write(thrift.AppendCancel(b, 9, 7))
+	a.next = 20
+	a.served(2, 1) // the first thing heard
+	a.net.Write(thrift.AppendCancel(nil, 30, a.next))
+	a.served(3, 1)
+	within(t, "all has ended", func() bool { return r.running() == 0 && r.stats().Open == 0 })
+	if st := r.stats(); st.Gone != 1 || st.Served != 2 {
+		t.Errorf("%+v", st)
+	}
+}
+
 // TestMoveWakesTheWatch: a new address for the notice board is asked at once, whatever pause goes on.
 func TestMoveWakesTheWatch(t *testing.T) {
 	r := newRig(t, 256)
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -24,7 +24,7 @@
 
 var (
 	errNoSlot = errors.New("platform: no descriptor left for a compute node")
-	errUnsure = errors.New("platform: connection in doubt")
+	errUnsure = errors.New("platform: connection in doubt, nothing was written")
 )
 
 // nodeConn is a connection to a compute node, for one call at a time.
@@ -83,7 +83,12 @@
 		return nil, errUnsure
 	}
 	c.out = nodehttp.AppendRequest(c.out[:0], method, path, c.addr, body, headers...)
-	if _, err := c.net.Write(c.out); err != nil {
+	if n, err := c.net.Write(c.out); err != nil {
+		// Danger: what was written in part may be run, and of that nothing is known; where the system took
+		// not one byte, as on a connection that was closed in this moment, nothing ran.
+		if n == 0 {
+			return nil, errUnsure
+		}
 		return nil, err
 	}
 	a, err := nodehttp.Read(c.in)
