--- a/internal/platform/ends_test.go
+++ b/internal/platform/ends_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -143,55 +145,73 @@
 			t.Errorf("connection %d: %+v", i, h)
 		}
 	}
+	within(t, "the listener is closed", r.deaf(t))
+}
+
+// deaf tells whether the listener is closed.
+func (r *rig) deaf(t *testing.T) func() bool {
 	raw, err := r.front.ln.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
-	within(t, "the listener is closed", func() bool { return raw.Control(func(uintptr) {}) != nil })
+	return func() bool { return raw.Control(func(uintptr) {}) != nil }
 }
 
-// TestSlowReader: a client that takes its answers slowly gets all of them, however long that is, and one that
-// takes nothing is cut off.
-func TestSlowReader(t *testing.T) {
-	r := newRig(t, 256)
-	const stall, asks = 250 * time.Millisecond, 20
-	r.hasty(idleMost, stall)
+// bulky has all queries answered with eight pages, and connections that come hold little of that in the
+// sockets. It returns how many bytes of rows a result has.
+func (r *rig) bulky() int {
 	rows := strings.Repeat(row(ticket(1), 0), 5900/len(row(ticket(1), 0)))
 	r.node.set(func(w http.ResponseWriter, _ *http.Request, call, _ string) bool {
-		if call == "DELETE" {
+		page, found := strings.CutPrefix(call, "GET ")
+		switch {
+		case call == "DELETE":
 			return false
-		}
-		w.Header().Set("Page-Count", "8")
-		w.Header().Set("Page-No", strings.TrimPrefix(strings.TrimPrefix(call, "POST"), "GET "))
-		if call == "POST" || call == "GET 0" {
-			w.Header().Del("Page-No")
+		case found && page != "0":
+			w.Header().Set("Page-No", page)
+		default:
+			w.Header().Set("Page-Count", "8")
 		}
 		io.WriteString(w, rows)
 		return true
 	})
-	a, mute := r.dial(), r.dial()
-	for _, c := range []*asker{a, mute} {
-		c.net.(*net.TCPConn).SetReadBuffer(32 << 10)
-	}
-	within(t, "both are there", func() bool { return r.front.size() == 2 })
+	return 8 * len(rows)
+}
+
+// narrow has a client's connection hold little at either end; it is the only one that waits for that.
+func (r *rig) narrow() *asker {
+	was := r.front.size()
+	a := r.dial()
+	a.net.(*net.TCPConn).SetReadBuffer(32 << 10)
+	within(r.t, "it is there", func() bool { return r.front.size() == was+1 })
 	r.front.mu.Lock()
+	defer r.front.mu.Unlock()
 	for _, c := range r.front.conns {
 		c.net.SetWriteBuffer(32 << 10)
 	}
-	r.front.mu.Unlock()
+	return a
+}
+
+// TestSlowReader: a client that takes its answers slowly gets all of them, however long that is, and one that
+// takes nothing is cut off.
+func TestSlowReader(t *testing.T) {
+	r := newRig(t, 256)
+	const stall, asks = 250 * time.Millisecond, 20
+	r.hasty(idleMost, stall)
+	size := asks * r.bulky()
+	a, mute := r.narrow(), r.narrow()
 	for i := range asks {
 		a.ask(fields(ticket(i+1), "quick", "60000"))
 		mute.ask(fields(ticket(i+1001), "quick", "60000"))
 	}
 	slow := make([]byte, 24<<10)
-	begun, got := time.Now(), []byte(nil)
-	for len(got) < asks*8*len(rows) {
+	begun := time.Now()
+	for got := 0; got < size; {
 		n, err := a.net.Read(slow)
 		if err != nil {
-			t.Fatalf("after %d bytes: %v", len(got), err)
+			t.Fatalf("after %d bytes: %v", got, err)
 		}
-		got = append(got, slow[:n]...)
-		time.Sleep(time.Duration(n) * 2 * stall / (asks * 8 * 5900)) // some two stalls in all
+		got += n
+		time.Sleep(time.Duration(n) * 2 * stall / time.Duration(size)) // some two stalls in all
 	}
 	if took := time.Since(begun); took < 2*stall*9/10 {
 		t.Errorf("all were read in %v: too fast to show anything", took)
@@ -199,6 +219,34 @@
 	within(t, "who takes nothing is cut off", func() bool { return r.front.size() == 1 })
 }
 
+// TestAnswersUnwrittenAtTheEnd: answers that wait for their client when SIGTERM comes are written before the
+// dispatcher ends.
+func TestAnswersUnwrittenAtTheEnd(t *testing.T) {
+	r := newRig(t, 256)
+	const asks = 20
+	size := r.bulky()
+	a := r.narrow()
+	for i := range asks {
+		a.ask(fields(ticket(i+1), "quick", "60000"))
+	}
+	within(t, "all are answered", func() bool { return r.stats().Served == asks })
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- r.live(signals) }()
+	signals <- syscall.SIGTERM
+	within(t, "the listener is closed", r.deaf(t))
+	for i := range asks {
+		if h := a.hear(); h.kind != "answer" || len(h.text) < size {
+			t.Fatalf("answer %d: %s of %d bytes", i, h.kind, len(h.text))
+		}
+	}
+	if h := a.hear(); h.kind != "closed" {
+		t.Errorf("after the last: %+v", h)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // TestPipelined: requests that come in one segment, and in single bytes, are all read.
 func TestPipelined(t *testing.T) {
 	r := newRig(t, 256)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -28,6 +28,8 @@
 	readStep    = 8 << 10                // a message grows by this, so that a told length alone costs nothing
 	readAhead   = 1 << 10                // bytes read at once: mostly a whole message
 	acceptPause = 10 * time.Millisecond  // after an accept that failed
+	lastLook    = 2 * time.Millisecond   // for who waits for accept, once no more should come...
+	lastLooks   = 3                      // ...so often in vain
 	lingerFor   = 200 * time.Millisecond // for a client to close a connection that was shut for writing
 	roomTries   = 4                      // connections looked at to make room for one
 )
@@ -74,7 +76,7 @@
 
 func (f *front) run() {
 	defer f.ln.Close()
-	empty := false
+	empty := 0 // times in a row that the last call found nobody
 	for {
 		c, err := f.ln.AcceptTCP()
 		if errors.Is(err, net.ErrClosed) {
@@ -82,15 +84,14 @@
 		}
 		if errors.Is(err, os.ErrDeadlineExceeded) { // the last call
 			// Danger: closed at once, the listener would reset connections whose requests are there; and past
-			// its deadline Accept doesn't look for them.
-			if empty {
+			// its deadline, which a busy core may bring before the look, Accept doesn't look for them.
+			if empty++; empty > lastLooks {
 				return
 			}
-			empty = true
-			f.lastCallFor(acceptPause)
+			f.lastCallFor(lastLook)
 			continue
 		}
-		empty = false
+		empty = 0
 		if err != nil { // no descriptor left, or the client has gone again
 			f.crowded(muteFor)
 			time.Sleep(acceptPause)
