--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -143,6 +143,9 @@
 // Addr returns the address of a compute node, as it was last told; "" where none was.
 func (f *Follower) Addr(id cresspass.EngineID) string { return f.addrs[id] }
 
+// Len returns how many compute nodes have an address.
+func (f *Follower) Len() int { return len(f.addrs) }
+
 // Takes reports whether a compute node at an address takes new queries, as far as was told.
 func (f *Follower) Takes(id cresspass.EngineID, addr string) bool {
 	return f.up[id] && f.addrs[id] == addr
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -118,6 +118,9 @@
 		return nil, fmt.Errorf("platform: %w", err)
 	}
 	s.front = newFront(s, ln.(*net.TCPListener), b)
+	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "board", cfg.Board,
+		"gateways", cfg.Module.Gateways, "classes", len(cfg.Module.Classes), "nodes", s.watch.known(),
+		"sockets", sockets, "memory_mb", cfg.Limits.MemoryMB, "cores", cfg.Limits.Cores)
 	go s.loop.Run()
 	go s.watch.run()
 	go s.front.run()
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -55,6 +55,13 @@
 	return w.follower.Addr(engine)
 }
 
+// known returns how many compute nodes have an address.
+func (w *watcher) known() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.follower.Len()
+}
+
 // takes reports whether a compute node at an address takes new queries.
 func (w *watcher) takes(engine cresspass.EngineID, addr string) bool {
 	w.mu.Lock()
