Requests' ordering keys and tenants are read, so that rule 5 holds on the platform

Cause: thriftfront/request.go, read: the module's event got no Key and no Tenant, so that queries of one key ran side by side and shares of tenants were not seen.

TestOrderByKey fails on the old code.

--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"reflect"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -37,6 +38,47 @@
 	}
 }
 
+// TestOrderByKey: of queries of an ordered class with one key, one runs at a time, as they came; other keys,
+// and no key, do not wait for it.
+func TestOrderByKey(t *testing.T) {
+	r := newRig(t, 256)
+	var mu sync.Mutex
+	gates := map[string]chan struct{}{ticket(1): make(chan struct{}), ticket(2): make(chan struct{})}
+	r.node.set(func(_ http.ResponseWriter, _ *http.Request, call, id string) bool {
+		mu.Lock()
+		gate := gates[id]
+		mu.Unlock()
+		if gate != nil && call != "DELETE" {
+			<-gate
+		}
+		return false
+	})
+	a := r.dial()
+	for i, key := range []string{"k", "k", "k", "other", ""} {
+		a.ask(fields(ticket(i+1), "turn", "8000", "item", key, "team", "north"))
+	}
+	for range 2 {
+		if h := a.hear(); h.kind != "answer" || h.seq != 4 && h.seq != 5 {
+			t.Errorf("%+v while the first is held, want answers to 4 and 5", h)
+		}
+	}
+	for i := 1; i <= 3; i++ {
+		if n := r.node.count("POST " + ticket(i)); n > 0 && i > 1 {
+			t.Errorf("query %d was sent while the one before it ran", i)
+		}
+		if gate := gates[ticket(i)]; gate != nil {
+			within(t, "it is sent", func() bool { return r.node.count("POST "+ticket(i)) == 1 })
+			if n := r.node.count("POST " + ticket(i+1)); n > 0 {
+				t.Errorf("query %d was sent while the one before it ran", i+1)
+			}
+			close(gate)
+		}
+		if h := a.hear(); h.kind != "answer" || h.seq != int32(i) {
+			t.Errorf("%+v, want an answer to %d", h, i)
+		}
+	}
+}
+
 // TestSpoiltAnswers: whatever a compute node spoils, the result is asked for again, by a query that was
 // sent once, and nobody gets another's rows.
 func TestSpoiltAnswers(t *testing.T) {
@@ -367,7 +409,7 @@
 		t.Errorf("the simulator's wire gives\n%+v, the configuration\n%+v", sim, cfg.Module)
 	}
 	k := cfg.Module.Classes
-	if len(k) != 2 || k[0].Aim != 400*time.Millisecond || k[1].Effect != cresspass.Keyed {
+	if len(k) != 3 || !k[2].InOrder || k[0].InOrder || k[0].Aim != 400*time.Millisecond || k[1].Effect != cresspass.Keyed {
 		t.Errorf("classes %+v", k)
 	}
 }
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -208,11 +208,13 @@
 func (r *rig) config(board string) []byte {
 	settings := `{"classes":[{"name":"quick","aim-us":400000,"deadline-us":2000000,"importance":1.0,` +
 		`"semantics":"safe","window-us":0},{"name":"load","aim-us":400000,"deadline-us":8000000,` +
-		`"importance":5.0,"semantics":"keyed","key-scope":"all","window-us":9000000}],` +
-		`"shapes":["k"],"specifics":{"class-threads":[1,2],` +
+		`"importance":5.0,"semantics":"keyed","key-scope":"all","window-us":9000000},{"name":"turn",` +
+		`"aim-us":400000,"deadline-us":8000000,"importance":1.0,"semantics":"safe","window-us":0,` +
+		`"in-turn":true}],` +
+		`"shapes":["k"],"specifics":{"class-threads":[1,2,1],` +
 		`"cpu-of-kind":[64],"kind-memory-mb":[65536.0],"takes-grants":true,"takes-priority":true,` +
-		`"when-short":"wait","max-grant-share":0.4,"writes-tables":[false,true],` +
-		`"yields-to-loads":[false,false]},"feedback":{"columns":["load_share","depth"],"source":"probe"},` +
+		`"when-short":"wait","max-grant-share":0.4,"writes-tables":[false,true,false],` +
+		`"yields-to-loads":[false,false,false]},"feedback":{"columns":["load_share","depth"],"source":"probe"},` +
 		`"limits":{"cancel":true,"may-probe":true,"max-attempts":6,"retry-after":true,` +
 		`"max-retry-after-us":2000000,"connect-timeout-us":250000,"conn-idle-us":15000000},` +
 		`"rules":{"grace-to-answer-us":5000,"stop-sending-within-us":2000000},"peers-total":1,"ordinal":0,` +
--- a/internal/thriftfront/request.go
+++ b/internal/thriftfront/request.go
@@ -15,6 +15,7 @@
 const (
 	limitMost = time.Hour
 	valueMost = 1e9 // of the estimates of work and memory
+	nameMost  = 256 // bytes of a tenant's name or an ordering key
 )
 
 // Terms is what a request asked for, as far as it goes on to compute nodes.
@@ -36,6 +37,8 @@
 		return ev, t, fmt.Errorf("verb %.40q: not a class", t.Class)
 	case len(t.Body) == 0:
 		return ev, t, fmt.Errorf("no statement")
+	case len(q.Fields["team"]) > nameMost || len(q.Fields["item"]) > nameMost:
+		return ev, t, fmt.Errorf("team and item: want at most %d bytes", nameMost)
 	case t.Nonce != "" && !hex(t.Nonce, 32) || t.Nonce == "" && effect == cresspass.Keyed:
 		return ev, t, fmt.Errorf("unique %.40q: want 32 hex digits", t.Nonce)
 	}
@@ -53,6 +56,9 @@
 	if ev.MemoryMB, err = number(q.Fields, "heap_mb", valueMost); err != nil {
 		return ev, t, err
 	}
+	// Danger: where the settings have classes that keep order (rule 5), or tenants with shares, requests name
+	// them; taken for none, queries of one key run side by side.
+	ev.Tenant, ev.Key = q.Fields["team"], q.Fields["item"]
 	ev.TimeLeft = time.Duration(limit * float64(time.Millisecond))
 	ev.Cost = time.Duration(cost * float64(time.Millisecond))
 	ev.HasCost = cost > 0
