A refused connection is no proof that the process which runs a query is dead

Cause: computenode.go, Next and left took every refused connection for a dead process. Change: a refusal ends an attempt only after a reset by the other side, where the start was answered or broken by that very reset, and where the compute node is not told to drain (attempt.unreached). Else it is asked about, or given up, on any connection that stands, until nobody has asked for 2.1 s.

TestRefusedIsNoProof, TestRefusedWhileItRunsOn and the property test with a draining compute node fail on the old code.

--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -38,7 +38,7 @@
 	Begin     EventType = iota // the first event
 	Answered                   // Answer came whole
 	Broken                     // the call may have come to the compute node; no answer that can be read came
-	Refused                    // the connection was refused: no process is there
+	Refused                    // the connection was refused by an address that should take new ones
 	Unreached                  // no connection came up, or it broke before anything was written
 	NoRoom                     // there was no descriptor for a connection
 	Unwanted                   // nothing was written: nobody waits for the query any more
@@ -50,6 +50,7 @@
 type Event struct {
 	Type    EventType
 	Answer  *nodehttp.Answer
+	Reset   bool // with Broken: the other side reset the connection
 	Outcome cresspass.Outcome
 }
 
@@ -88,6 +89,9 @@
 	begun, asked time.Duration // asked: the last time at which a call may have come to the compute node
 	posted       bool          // the query may be there
 	doubt        bool          // a call broke, so that the compute node may never have had the query
+	reset        bool          // the last call that was written ended with a reset
+	unanswered   bool          // the start broke
+	lost         bool          // the start was not answered, although its process lived on
 	leaving      bool
 	outcome      cresspass.Outcome // with which it is left
 	bad, quick   int
@@ -104,9 +108,16 @@
 	case ev.Type == Begin:
 		m.begun = now
 		return Step{Type: Start, Due: now + turn, Wait: newsAfter + patience(0)}
+	case ev.Type != Answered && ev.Type != Broken:
 	case m.leaving: // a call that gives it up is no question
-	case ev.Type == Answered, ev.Type == Broken:
-		m.posted, m.asked = true, now
+		m.reset = ev.Reset
+	default:
+		if ev.Type == Broken && !m.posted {
+			m.unanswered, m.lost = true, !ev.Reset
+		} else if ev.Type == Answered {
+			m.lost = m.lost || m.unanswered
+		}
+		m.posted, m.asked, m.reset = true, now, ev.Reset
 	}
 	switch {
 	case ev.Type == Stop:
@@ -121,12 +132,20 @@
 		return Step{Type: End, Outcome: cresspass.Full}
 	case !m.posted:
 		return Step{Type: End, Outcome: cresspass.ConnectFailed}
-	case ev.Type == Refused: // its process is dead, and with it the query
+	case ev.Type == Refused && m.dead():
 		return Step{Type: End, Outcome: cresspass.Reset}
 	}
-	return m.broken(now)
+	return m.broken(now, ev.Type != Refused)
 }
 
+// dead reports whether a refused connection tells that the process which had the query is dead. Danger: a
+// compute node that drains refuses connections while it runs what it has, and so does one that holds as many
+// as it can: taken for dead, its query would be sent again, or the next of its key, beside it. A process that
+// dies resets its connections, so the refusal has to follow a reset. Where the start was never answered,
+// although the process went on, not even that ended the attempt for the platform: it is out until nobody has
+// asked for it for long enough.
+func (m *Machine) dead() bool { return m.reset && !m.lost }
+
 // answered reads an answer to Start or Ask.
 func (m *Machine) answered(now, took time.Duration, r *nodehttp.Answer) Step {
 	next := len(m.pages)
@@ -168,11 +187,12 @@
 		}
 		return Step{Type: End, Outcome: cresspass.Failed}
 	}
-	return m.broken(now)
+	return m.broken(now, true)
 }
 
-// broken asks again: a query runs on although its connection is lost, and a result can be had again.
-func (m *Machine) broken(now time.Duration) Step {
+// broken asks again, on a fresh connection or on any that is there: a query runs on although its connection
+// is lost, and a result can be had again.
+func (m *Machine) broken(now time.Duration, fresh bool) Step {
 	m.doubt = true
 	if m.bad++; m.bad > brokenMost && now-m.begun > forgotten {
 		return m.leave(cresspass.Reset)
@@ -181,7 +201,7 @@
 	if m.bad > 1 {
 		pause = min(againFirst<<min(m.bad-2, 8), againMost)
 	}
-	return m.ask(true, pause, Note{})
+	return m.ask(fresh, pause, Note{})
 }
 
 func (m *Machine) ask(fresh bool, pause time.Duration, n Note) Step {
@@ -211,13 +231,13 @@
 
 // left reads what became of a Delete. What broke may not have come.
 func (m *Machine) left(now time.Duration, ev Event) Step {
-	done := ev.Type == Refused ||
+	done := ev.Type == Refused && m.dead() ||
 		ev.Type == Answered && (ev.Answer.Status/100 == 2 || ev.Answer.Status == 500)
 	if done || now >= m.until() {
 		return Step{Type: End, Outcome: m.outcome}
 	}
 	m.bad++
-	return Step{Type: Delete, Fresh: true, Due: now, Pause: min(againFirst<<min(m.bad-1, 8), againMost),
+	return Step{Type: Delete, Fresh: ev.Type != Refused, Due: now, Pause: min(againFirst<<min(m.bad-1, 8), againMost),
 		Wait: patience(m.bad), Until: m.until()}
 }
 
--- a/internal/computenode/computenode_test.go
+++ b/internal/computenode/computenode_test.go
@@ -23,7 +23,10 @@
 	ended    bool // it ran to a good end; its result is kept
 	failed   bool
 	dead     bool
-	needs    int // questions until it ends
+	reset    bool // the network reset a connection
+	deaf     bool // it drains: connections that stand are served, new ones refused
+	conn     bool // the last call left a connection
+	needs    int  // questions until it ends
 	pages    int
 	lastAsk  time.Duration
 	shed     bool
@@ -86,14 +89,25 @@
 	trouble := "none"
 	if w.troubles > 0 {
 		trouble = rapid.SampledFrom([]string{"none", "none", "request lost", "answer lost", "spoilt",
-			"unreached", "no room", "dies", "other page"}).Draw(w.t, "trouble")
+			"unreached", "no room", "dies", "drains", "reset", "other page"}).Draw(w.t, "trouble")
 		w.troubles--
 	}
-	if trouble == "dies" {
+	stood := w.conn && !s.Fresh
+	w.conn = false
+	switch trouble {
+	case "dies":
+		was := w.dead
 		w.dead, w.running, w.ended = true, false, false
+		if stood && !was {
+			return Event{Type: Broken, Reset: true}
+		}
+	case "drains":
+		w.deaf = true
 	}
 	switch {
-	case w.dead:
+	case w.deaf && !w.dead && !stood && w.reset:
+		return Event{Type: Unreached} // where both befall it, only the told drain tells it from a death
+	case w.dead || w.deaf && !stood:
 		return Event{Type: Refused}
 	case trouble == "unreached":
 		w.now += wayMost
@@ -105,7 +119,11 @@
 		return Event{Type: Broken}
 	}
 	a := w.arrive(s)
+	w.conn = trouble == "none"
 	switch trouble {
+	case "reset":
+		w.reset = true
+		return Event{Type: Broken, Reset: true}
 	case "answer lost":
 		w.now += s.Wait
 		return Event{Type: Broken}
@@ -169,6 +187,46 @@
 	})
 }
 
+// TestRefusedIsNoProof: a refused connection ends an attempt where a reset went before it, and the start was
+// answered or broken by that reset; else it is out until nobody has asked for it for long enough.
+func TestRefusedIsNoProof(t *testing.T) {
+	news := Event{Type: Answered, Answer: &nodehttp.Answer{Status: 202}}
+	silent, reset, refused := Event{Type: Broken}, Event{Type: Broken, Reset: true}, Event{Type: Refused}
+	stop := Event{Type: Stop, Outcome: cresspass.Cancelled}
+	for name, c := range map[string]struct {
+		events []Event
+		atOnce bool
+	}{
+		"dies":                            {[]Event{news, reset}, true},
+		"dies as it starts":               {[]Event{reset}, true},
+		"dies as it is given up":          {[]Event{news, reset, stop}, true},
+		"drains":                          {[]Event{news, silent}, false},
+		"given up as it drains":           {[]Event{news, silent, stop}, false},
+		"start lost, then dies":           {[]Event{silent, news, reset}, false},
+		"start reset and had, then dies":  {[]Event{reset, news, reset}, false},
+		"start lost, given up as it dies": {[]Event{silent, news, reset, stop}, false},
+	} {
+		m, now := &Machine{}, time.Hour
+		m.Next(now, Event{Type: Begin})
+		for _, ev := range c.events {
+			now += 10 * ms
+			m.Next(now, ev)
+		}
+		asked, s := now, m.Next(now, refused)
+		for n := 0; s.Type != End && n < 200; n++ {
+			if s.Fresh {
+				t.Errorf("%s: after a refusal, a connection that stands is not used", name)
+			}
+			now += s.Pause + ms
+			s = m.Next(now, refused)
+		}
+		if took := now - asked; s.Type != End || c.atOnce != (took == 0) || !c.atOnce && took <= forgotten ||
+			took > 2*forgotten {
+			t.Errorf("%s: ended %v after %v, at once %v", name, s.Type == End, took, c.atOnce)
+		}
+	}
+}
+
 // TestQuickNewsArePaced: a compute node that answers at once, and never with an end, is not asked without a
 // pause.
 func TestQuickNewsArePaced(t *testing.T) {
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -151,6 +151,9 @@
 	return f.up[id] && f.addrs[id] == addr
 }
 
+// Drains reports whether a compute node was told to drain and has not left.
+func (f *Follower) Drains(id cresspass.EngineID) bool { return f.addrs[id] != "" && !f.up[id] }
+
 // Gone returns the compute nodes that left the list since the last call. Their addresses are forgotten.
 func (f *Follower) Gone() []cresspass.EngineID {
 	gone := f.gone
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -112,7 +112,7 @@
 		t.Error("one that a whole list leaves out takes queries, or one on it does not")
 	}
 	if _, v, _ = take(event(10, false, server("c", "draining", 0))); v != Taken || f.Addr("c") != at ||
-		f.Takes("c", at) {
+		f.Takes("c", at) || !f.Drains("c") || f.Drains("a") {
 		t.Error("a draining one takes queries, or has no address for those that it runs")
 	}
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -132,7 +132,7 @@
 		if c == nil {
 			var err error
 			if c, err = a.s.pool.get(ctx, w); err != nil {
-				return computenode.Event{Type: unreached(err)}, nil
+				return computenode.Event{Type: a.unreached(err)}, nil
 			}
 		}
 		if step.Type != computenode.Delete && !a.hold(c) {
@@ -163,7 +163,8 @@
 				a.s.spoilt.Add(1)
 			}
 		}
-		return computenode.Event{Type: computenode.Broken}, nil
+		return computenode.Event{Type: computenode.Broken, Reset: errors.Is(err, syscall.ECONNRESET) ||
+			errors.Is(err, syscall.EPIPE)}, nil
 	}
 }
 
@@ -195,12 +196,13 @@
 	return c.call(step.Wait, "GET", path+"/"+strconv.Itoa(step.Page), nil)
 }
 
-// unreached says what it means that no connection was had.
-func unreached(err error) computenode.EventType {
+// unreached says what it means that no connection was had. Danger: a compute node that drains closes its
+// listener and runs on, so its refusal is none of a process that is not there.
+func (a *attempt) unreached(err error) computenode.EventType {
 	switch {
 	case errors.Is(err, errNoSlot):
 		return computenode.NoRoom
-	case errors.Is(err, syscall.ECONNREFUSED):
+	case errors.Is(err, syscall.ECONNREFUSED) && !a.s.watch.drains(a.engine):
 		return computenode.Refused
 	}
 	return computenode.Unreached
--- a/internal/platform/late_test.go
+++ b/internal/platform/late_test.go
@@ -211,6 +211,24 @@
 	}
 }
 
+// TestRefusedWhileItRunsOn: a compute node that takes no connections any more runs what it has, so an attempt
+// that can't be given up there is out until nobody has asked for it for 2 s.
+func TestRefusedWhileItRunsOn(t *testing.T) {
+	r := newRig(t, 256)
+	a := r.dial()
+	seq := r.held(a, 1)
+	r.node.Listener.Close()
+	begun := time.Now()
+	a.net.Write(thrift.AppendCancel(nil, 99, seq))
+	within(t, "the attempt ends", func() bool { return r.running() == 0 })
+	if took := time.Since(begun); took < 1900*time.Millisecond {
+		t.Errorf("given up after %v without word of its compute node", took)
+	}
+	if n := r.node.count("DELETE"); n != 0 {
+		t.Errorf("%d times given up: it was to be refused", n)
+	}
+}
+
 // TestMoveWakesTheWatch: a new address for the notice board is asked at once, whatever pause goes on.
 func TestMoveWakesTheWatch(t *testing.T) {
 	r := newRig(t, 256)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -69,6 +69,13 @@
 	return w.follower.Takes(engine, addr)
 }
 
+// drains reports whether a compute node drains.
+func (w *watcher) drains(engine cresspass.EngineID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.follower.Drains(engine)
+}
+
 // move has the notice board asked at another address, at once. Danger: the old address tells nothing more,
 // so neither a call under way nor a pause between calls may go on.
 func (w *watcher) move(at string) {
