--- a/gateway.go
+++ b/gateway.go
@@ -1089,8 +1089,8 @@
 }
 
 // memoryKnown steers a class's grant so that few of its queries spill. Danger: a query that ended before a
-// note was due, or where neither notes nor costs are told, may have spilled unseen; were its grant cut, all of
-// its class would spill more and more, and nothing would ever tell.
+// note was due, or where neither notes nor costs are told, may have spilled unseen; were its grant cut, all
+// of its class would spill more and more, and nothing would ever tell.
 func (g *Gateway) memoryKnown(a *attempt, needed float64, took time.Duration) {
 	switch {
 	case a.grant <= 0 || a.q.memory <= 0:
--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -237,8 +237,8 @@
 		return Step{Type: End, Outcome: m.outcome}
 	}
 	m.bad++
-	return Step{Type: Delete, Fresh: ev.Type != Refused, Due: now, Pause: min(againFirst<<min(m.bad-1, 8), againMost),
-		Wait: patience(m.bad), Until: m.until()}
+	return Step{Type: Delete, Fresh: ev.Type != Refused, Due: now, Wait: patience(m.bad), Until: m.until(),
+		Pause: min(againFirst<<min(m.bad-1, 8), againMost)}
 }
 
 // patience is how long an answer that is due may take, after so many in a row that did not come. Danger: an
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,6 +1,6 @@
-// Package discovery follows a notice board (service discovery by a watch): server-sent events, each a numbered change of the list of compute
-// nodes. It does no I/O: bytes go into a Parser, whole events into a Follower, and lists for the module
-// come out.
+// Package discovery follows a notice board (service discovery by a watch): server-sent events, each a
+// numbered change of the list of compute nodes. It does no I/O: bytes go into a Parser, whole events into a
+// Follower, and lists for the module come out.
 package discovery
 
 import (
@@ -193,8 +193,8 @@
 		s := &n.Pool.Servers[i]
 		state, ok := states[s.State]
 		if s.ID == "" || !ok || state == cresspass.EngineOn && s.Addr == "" || s.Weight < 0 {
-			return out, Gap, fmt.Errorf("discovery: notice %d: compute node %q at %q is %q", n.Rev, s.ID, s.Addr,
-				s.State)
+			return out, Gap, fmt.Errorf("discovery: notice %d: compute node %q at %q is %q", n.Rev, s.ID,
+				s.Addr, s.State)
 		}
 		e := cresspass.EngineInfo{ID: cresspass.EngineID(s.ID), State: state, Kind: s.Kind, Zone: s.Zone,
 			Cell: s.Cell, Size: s.Weight}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -65,7 +65,8 @@
 }
 
 func newFront(s *service, ln *net.TCPListener, b *budget) *front {
-	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin, state: thriftfront.New(&s.cfg.Module),
+	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin,
+		state: thriftfront.New(&s.cfg.Module),
 		conns: map[thriftfront.ConnID]*client{}}
 }
 
--- a/internal/platform/late_test.go
+++ b/internal/platform/late_test.go
@@ -253,7 +253,8 @@
 	const fleet, tries = 300, 6
 	var at []time.Duration
 	for i := range fleet {
-		b := discovery.Backoff{Least: boardAgain, Most: boardMost, Random: rand.New(rand.NewPCG(uint64(i), 0))}
+		b := discovery.Backoff{Least: boardAgain, Most: boardMost,
+			Random: rand.New(rand.NewPCG(uint64(i), 0))}
 		var sum time.Duration
 		for range tries {
 			d := b.Next()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -407,7 +407,8 @@
 		t.Errorf("the simulator's wire gives\n%+v, the configuration\n%+v", sim, cfg.Module)
 	}
 	k := cfg.Module.Classes
-	if len(k) != 3 || !k[2].InOrder || k[0].InOrder || k[0].Aim != 400*time.Millisecond || k[1].Effect != cresspass.Keyed {
+	if len(k) != 3 || !k[2].InOrder || k[0].InOrder || k[0].Aim != 400*time.Millisecond ||
+		k[1].Effect != cresspass.Keyed {
 		t.Errorf("classes %+v", k)
 	}
 }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -116,7 +116,8 @@
 
 func newPool(b *budget, connect, idle time.Duration) *pool {
 	p := &pool{budget: b, connect: connect, zero: time.Now(), idle: map[uint64]*nodeConn{},
-		state: connpool.New(restFor, time.Duration(sparse*float64(idle))), wait: map[uint64]chan connpool.Grant{}}
+		state: connpool.New(restFor, time.Duration(sparse*float64(idle))),
+		wait:  map[uint64]chan connpool.Grant{}}
 	p.settle = time.AfterFunc(time.Hour, p.sweep)
 	return p
 }
--- a/internal/platform/rig_test.go
+++ b/internal/platform/rig_test.go
@@ -214,7 +214,8 @@
 		`"shapes":["k"],"specifics":{"class-threads":[1,2,1],` +
 		`"cpu-of-kind":[64],"kind-memory-mb":[65536.0],"takes-grants":true,"takes-priority":true,` +
 		`"when-short":"wait","max-grant-share":0.4,"writes-tables":[false,true,false],` +
-		`"yields-to-loads":[false,false,false]},"feedback":{"columns":["load_share","depth"],"source":"probe"},` +
+		`"yields-to-loads":[false,false,false]},` +
+		`"feedback":{"columns":["load_share","depth"],"source":"probe"},` +
 		`"limits":{"cancel":true,"may-probe":true,"max-attempts":6,"retry-after":true,` +
 		`"max-retry-after-us":2000000,"connect-timeout-us":250000,"conn-idle-us":15000000},` +
 		`"rules":{"grace-to-answer-us":5000,"stop-sending-within-us":2000000},"peers-total":1,"ordinal":0,` +
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -40,9 +40,10 @@
 }
 
 func newWatcher(s *service, at string) *watcher {
-	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1), follower: discovery.NewFollower(func(ms int64) time.Duration {
+	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1)}
+	w.follower = discovery.NewFollower(func(ms int64) time.Duration {
 		return max(s.clock()+time.Until(time.UnixMilli(ms)), 1)
-	})}
+	})
 	w.again = discovery.Backoff{Least: boardAgain, Most: boardMost,
 		Random: rand.New(rand.NewPCG(s.cfg.Module.Seed, 0))}
 	w.life, w.stop = context.WithCancel(context.Background())
--- a/internal/thriftfront/front_test.go
+++ b/internal/thriftfront/front_test.go
@@ -170,7 +170,8 @@
 					end(q, "overdue")
 				}
 				unwritten[id] += len(ended)
-				if over := !alive[id] || ending[id] || partly[id] || unwritten[id] == 0 && !wasUsed; over != last {
+				over := !alive[id] || ending[id] || partly[id] || unwritten[id] == 0 && !wasUsed
+				if over != last {
 					t.Fatalf("overdue: ends %v, want %v", last, over)
 				}
 				ending[id] = alive[id] && last
@@ -213,7 +214,8 @@
 		"none can go":   {[]seen{{busy: true, spoke: true, silent: ms}, {silent: 499 * ms}}, 0},
 		"half a message": {[]seen{{spoke: true, silent: 499 * ms, partly: true}, {spoke: true, silent: ms},
 			{silent: 499 * ms, partly: true}}, 2},
-		"half for long": {[]seen{{spoke: true, silent: 600 * ms, partly: true}, {spoke: true, silent: ms}}, 1},
+		"half for long": {[]seen{{spoke: true, silent: 600 * ms, partly: true},
+			{spoke: true, silent: ms}}, 1},
 	} {
 		b, now := New(&cfg), zero.Add(time.Hour)
 		for i, s := range c.conns {
