--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -69,8 +69,7 @@
 	// Danger: raw.Read would fail where the last call's deadline is over, and every connection that was
 	// idle for long would look dead.
 	err := c.raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := peek(fd)
 		silent = err == syscall.EAGAIN
 	})
 	return err == nil && silent
