--- /dev/null
+++ b/internal/platform/stale_test.go
@@ -0,0 +1,89 @@
+package platform
+
+import (
+	"bytes"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cresspass/internal/discovery"
+)
+
+// newRigWith is newRig with some text of its settings replaced.
+func newRigWith(t *testing.T, sockets int, from, to string) *rig {
+	t.Helper()
+	r := &rig{t: t, node: newNode(t), board: newNotices(t), sockets: sockets,
+		path: filepath.Join(t.TempDir(), "config.json")}
+	r.board.add(true, "s-1", address(r.node.Server), "up")
+	data := r.config(address(r.board.Server))
+	if !bytes.Contains(data, []byte(from)) {
+		t.Fatalf("the settings have no %s", from)
+	}
+	if err := os.WriteFile(r.path, bytes.Replace(data, []byte(from), []byte(to), 1), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.serve()
+	return r
+}
+
+// TestBudgetWhenBegun: a further attempt that was within the budget when it was decided on, and then waits for
+// a descriptor until the requests that allowed it have left the window, is not begun.
+func TestBudgetWhenBegun(t *testing.T) {
+	r := newRigWith(t, 256, `"grace-to-answer-us":5000`,
+		`"grace-to-answer-us":5000,"free-resends":0,"further-ratio":1,"look-back-us":60000`)
+	var long []string
+	for i := range nodesLeast {
+		long = append(long, ticket(i+1))
+	}
+	last := ticket(nodesLeast + 1)
+	r.node.withhold(250*time.Millisecond, long...)
+	usual := r.node.answer
+	r.node.set(func(w http.ResponseWriter, req *http.Request, call, id string) bool {
+		if call == "POST" && id == last && r.node.count("POST "+last) == 1 {
+			r.front.budget.clients.Store(1 << 20) // no more connections than the long queries hold
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(500)
+			return true
+		}
+		return usual(w, req, call, id)
+	})
+	a := r.dial()
+	for _, id := range long {
+		a.ask(fields(id, "quick", "5000"))
+	}
+	within(t, "the long queries run", func() bool { return r.node.count("POST") == nodesLeast })
+	seq := a.ask(fields(last, "quick", "5000"))
+	if h := a.hear(); h.kind != "shed" || h.seq != seq {
+		t.Errorf("%+v", h)
+	}
+	if n := r.node.count("POST " + last); n != 1 {
+		t.Errorf("%d attempts, when no request of the last 60 ms allowed a further one", n)
+	}
+}
+
+// TestStartToldAgain: a compute node whose start is told again, in another list, has the same start; as a later
+// one it would be taken for a new process, of which nothing is known.
+func TestStartToldAgain(t *testing.T) {
+	r := newRig(t, 256)
+	w := newWatcher(r.service, "")
+	started := time.Now().Add(-5 * time.Second).UnixMilli()
+	var told []time.Duration
+	for rev := range uint64(50) {
+		var n discovery.Notice
+		n.Rev = rev + 1
+		n.Pool = &discovery.Pool{Full: rev%2 == 0, Servers: []discovery.Server{{ID: "s-1", Addr: "a:1",
+			State: "up", Started: started}}}
+		ev, _, err := w.follower.Notice(n)
+		if err != nil {
+			t.Fatal(err)
+		}
+		told = append(told, ev.Engines[0].Started)
+	}
+	for i, at := range told {
+		if at != told[0] {
+			t.Fatalf("the start was %v when told first and %v when told for time %d", told[0], at, i+1)
+		}
+	}
+}
