Starts of compute nodes are converted once, and by no wall clock that steps

Seen: TestStartToldAgain: one start told in two lists was two moments some nanoseconds apart. A later start resets all that the module learnt of an engine (events.go, listed). By reading: after a step of an hour forward a cold compute node looked warm (rule 4), after one backward it stayed cold for an hour. Lines at fault: platform/watch.go, newWatcher (time.Until of a Unix millisecond at each list); roster.go, Infos (a start in the future counted as now, at each list). Change: internal/startclock, pure: the wall clock is read once, a start is converted once, and no node is younger than the least age ever told, so that a clock that was wrong before the start is noticed where only late starts are told. Left: where every start is told (endpoint discovery), a clock that was ahead before the process began is not noticed.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -8,11 +8,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 	"time"
 
 	"cresspass"
+	"cresspass/internal/startclock"
 )
 
 // Most is the longest event that is kept, in bytes.
@@ -129,12 +129,14 @@
 	addrs map[cresspass.EngineID]string
 	up    map[cresspass.EngineID]bool
 	gone  []cresspass.EngineID // since the last call of Gone
-	at    func(unixMS int64) time.Duration
+	now   func() time.Duration
+	clock *startclock.Clock
 }
 
-// NewFollower returns a Follower; at turns a Unix millisecond into the module's time.
-func NewFollower(at func(unixMS int64) time.Duration) *Follower {
-	return &Follower{addrs: map[cresspass.EngineID]string{}, up: map[cresspass.EngineID]bool{}, at: at}
+// NewFollower returns a Follower; now is the module's time, clock turns starts into it.
+func NewFollower(now func() time.Duration, clock *startclock.Clock) *Follower {
+	return &Follower{addrs: map[cresspass.EngineID]string{}, up: map[cresspass.EngineID]bool{}, now: now,
+		clock: clock}
 }
 
 // Last is the number of the last event taken.
@@ -174,6 +176,20 @@
 	return f.Notice(n)
 }
 
+// See takes in what the starts in a notice tell of the wall clock, and nothing else. Where several notices are
+// at hand, all are seen before the first is taken.
+func (f *Follower) See(n Notice) {
+	if n.Pool == nil {
+		return
+	}
+	now := f.now()
+	for i := range n.Pool.Servers {
+		if s := &n.Pool.Servers[i]; s.Started > 0 {
+			f.clock.See(now, cresspass.EngineID(s.ID), time.UnixMilli(s.Started))
+		}
+	}
+}
+
 // Notice takes what an event held.
 func (f *Follower) Notice(n Notice) (out cresspass.Event, v Verdict, err error) {
 	switch {
@@ -189,6 +205,8 @@
 	if n.Pool.Full {
 		out.Listing = cresspass.ListFull
 	}
+	f.See(n)
+	now := f.now()
 	for i := range n.Pool.Servers {
 		s := &n.Pool.Servers[i]
 		state, ok := states[s.State]
@@ -199,20 +217,24 @@
 		e := cresspass.EngineInfo{ID: cresspass.EngineID(s.ID), State: state, Kind: s.Kind, Zone: s.Zone,
 			Cell: s.Cell, Size: s.Weight}
 		if s.Started > 0 {
-			e.Started = f.at(s.Started)
+			e.Started = f.clock.Started(now, e.ID, time.UnixMilli(s.Started))
 		}
 		out.Engines = append(out.Engines, e)
 	}
 	f.last = n.Rev
 	if n.Pool.Full {
-		old := f.addrs
-		f.addrs = make(map[cresspass.EngineID]string, len(n.Pool.Servers))
-		clear(f.up)
-		for id := range old {
-			if !slices.ContainsFunc(n.Pool.Servers, func(s Server) bool { return s.ID == string(id) }) {
+		listed := make(map[cresspass.EngineID]bool, len(n.Pool.Servers))
+		for i := range n.Pool.Servers {
+			listed[cresspass.EngineID(n.Pool.Servers[i].ID)] = true
+		}
+		for id := range f.addrs {
+			if !listed[id] {
 				f.gone = append(f.gone, id)
 			}
 		}
+		f.addrs = make(map[cresspass.EngineID]string, len(n.Pool.Servers))
+		clear(f.up)
+		f.clock.Keep(func(id cresspass.EngineID) bool { return listed[id] })
 	}
 	for i := range n.Pool.Servers {
 		s := &n.Pool.Servers[i]
@@ -220,6 +242,7 @@
 		if f.up[id] = s.State == "up"; s.State == "removed" {
 			delete(f.up, id)
 			delete(f.addrs, id)
+			f.clock.Forget(id)
 			f.gone = append(f.gone, id)
 		} else if s.Addr != "" {
 			f.addrs[id] = s.Addr
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/startclock"
 )
 
 func event(id int, full bool, servers string) string {
@@ -47,6 +48,12 @@
 	}
 }
 
+// newFollower returns a Follower at 50 ms of its own and of Unix time.
+func newFollower() *Follower {
+	const now = 50 * time.Millisecond
+	return NewFollower(func() time.Duration { return now }, startclock.New(startclock.Late, time.UnixMilli(50), now))
+}
+
 // FuzzBoard: whatever a notice board sends, reading it ends without a panic, and the last number never goes
 // back.
 func FuzzBoard(f *testing.F) {
@@ -54,7 +61,7 @@
 	f.Add([]byte("id: 7\ndata: {\"rev\":7}\n\nid: 8\ndata\n\n:\n"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var p Parser
-		follower := NewFollower(func(ms int64) time.Duration { return time.Duration(ms) })
+		follower := newFollower()
 		p.Feed(b, func(ev Event) {
 			last := follower.Last()
 			if _, v, err := follower.Take(ev); follower.Last() < last || (err != nil || v != Taken) &&
@@ -68,7 +75,7 @@
 // TestFollow: what was told before is passed over, a gap and what can't be read change nothing, a compute
 // node that left has no address, and starts are on the module's clock.
 func TestFollow(t *testing.T) {
-	f := NewFollower(func(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond })
+	f := newFollower()
 	take := func(text string) (cresspass.Event, Verdict, error) {
 		var p Parser
 		var ev Event
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -101,6 +101,9 @@
 	b := newBudget(sockets)
 	s.pool = newPool(b, cfg.ConnectTimeout, cfg.ConnIdle)
 	s.watch = newWatcher(s, cfg.Board)
+	for _, n := range cfg.Known.Notices {
+		s.watch.follower.See(n)
+	}
 	for _, n := range cfg.Known.Notices {
 		ev, v, err := s.watch.follower.Notice(n)
 		if err != nil {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -15,6 +15,7 @@
 
 	"cresspass"
 	"cresspass/internal/discovery"
+	"cresspass/internal/startclock"
 )
 
 const (
@@ -41,9 +42,7 @@
 
 func newWatcher(s *service, at string) *watcher {
 	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1)}
-	w.follower = discovery.NewFollower(func(ms int64) time.Duration {
-		return max(s.clock()+time.Until(time.UnixMilli(ms)), 1)
-	})
+	w.follower = discovery.NewFollower(s.clock, startclock.New(startclock.Late, time.Now(), s.clock()))
 	w.again = discovery.Backoff{Least: boardAgain, Most: boardMost,
 		Random: rand.New(rand.NewPCG(s.cfg.Module.Seed, 0))}
 	w.life, w.stop = context.WithCancel(context.Background())
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cresspass"
+	"cresspass/internal/startclock"
 )
 
 // Engine is one entry of a list.
@@ -59,8 +60,17 @@
 	return nil
 }
 
-// Infos returns the list in the module's terms. now is the module's clock, at the wall time wall.
-func (l *List) Infos(now time.Duration, wall time.Time) []cresspass.EngineInfo {
+// Infos returns the list in the module's terms at a time of its clock; clock turns starts into that time, and
+// forgets the engines that are not on the list.
+func (l *List) Infos(now time.Duration, clock *startclock.Clock) []cresspass.EngineInfo {
+	listed := map[cresspass.EngineID]bool{}
+	for _, e := range l.Engines {
+		listed[cresspass.EngineID(e.Address)] = true
+		if !e.Started.IsZero() {
+			clock.See(now, cresspass.EngineID(e.Address), e.Started)
+		}
+	}
+	clock.Keep(func(id cresspass.EngineID) bool { return listed[id] })
 	out := make([]cresspass.EngineInfo, 0, len(l.Engines))
 	for _, e := range l.Engines {
 		info := cresspass.EngineInfo{ID: cresspass.EngineID(e.Address), Kind: e.Kind, Zone: e.Zone,
@@ -72,9 +82,7 @@
 			info.State = cresspass.EngineGone
 		}
 		if !e.Started.IsZero() {
-			// Danger: clocks differ between machines. A start in our future counts as now, so that the engine
-			// is cold.
-			info.Started = max(0, now-max(0, wall.Sub(e.Started)))
+			info.Started = clock.Started(now, info.ID, e.Started)
 		}
 		out = append(out, info)
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -10,6 +10,8 @@
 
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/protobuf/types/known/anypb"
+
+	"cresspass/internal/startclock"
 )
 
 func sample() *List {
@@ -88,11 +90,17 @@
 		t.Error("half a resource was believed")
 	}
 	now := 24 * time.Hour
-	infos := l.Infos(now, l.Engines[0].Started.Add(3*time.Second))
+	started := l.Engines[0].Started
+	clock := startclock.New(startclock.Every, started.Add(3*time.Second), now)
+	clock.See(now, "told at once", started.Add(3*time.Second))
+	infos := l.Infos(now, clock)
 	if infos[0].Started != now-3*time.Second || infos[1].Started != 0 {
 		t.Errorf("starts %v, %v", infos[0].Started, infos[1].Started)
 	}
-	if ahead := l.Infos(now, l.Engines[0].Started.Add(-time.Hour)); ahead[0].Started != now {
+	if again := l.Infos(now+time.Second, clock); again[0].Started != infos[0].Started {
+		t.Errorf("told again: %v, then %v", infos[0].Started, again[0].Started)
+	}
+	if ahead := l.Infos(now, startclock.New(startclock.Every, started.Add(-time.Hour), now)); ahead[0].Started != now {
 		t.Errorf("a start in the future counts as %v, want now", ahead[0].Started)
 	}
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -30,6 +30,7 @@
 	"cresspass/internal/recording"
 	"cresspass/internal/roster"
 	"cresspass/internal/session"
+	"cresspass/internal/startclock"
 	"cresspass/internal/state"
 	"cresspass/internal/verdict"
 )
@@ -42,6 +43,10 @@
 	clock    dispatch.Clock
 	loop     *dispatch.Loop
 	pool     *backend.Pool
+
+	startsLock sync.Mutex
+	starts     *startclock.Clock // of engines; under startsLock
+
 	book     *kept.Book // sessions kept on engines
 	front    *frontend.Server
 	flight   *flightfront.Server // nil: not served
@@ -119,6 +124,7 @@
 	s := &Server{cfg: cfg, log: log, inForce: cfg, guard: guard.New(limits(cfg)), clock: dispatch.Monotonic(),
 		addr:    ln.Addr().String(),
 		queries: map[cresspass.QueryID]*query{}, shapes: newShapes(4096), listed: make(chan struct{})}
+	s.starts = startclock.New(startclock.Every, time.Now(), s.clock())
 	s.classify.Store(classify.New(cfg))
 	s.life = fmt.Sprintf("cresspass-%d-%08x", cfg.Module.Ordinal, rand.Uint32())
 	decider, err := decide(cfg.Module)
@@ -287,8 +293,10 @@
 }
 
 func (s *Server) post(how cresspass.Listing, l *roster.List) {
-	s.loop.Post(cresspass.Event{Type: cresspass.EngineList, Listing: how, Engines: l.Infos(s.clock(),
-		time.Now())})
+	s.startsLock.Lock()
+	infos := l.Infos(s.clock(), s.starts)
+	s.startsLock.Unlock()
+	s.loop.Post(cresspass.Event{Type: cresspass.EngineList, Listing: how, Engines: infos})
 	s.hasList.Do(func() { close(s.listed) })
 }
 
--- /dev/null
+++ b/internal/startclock/startclock.go
@@ -0,0 +1,99 @@
+// Package startclock turns the wall-clock times at which compute nodes say they started into the dispatcher's
+// monotonic time, and does not believe the dispatcher's own wall clock: it may be wrong from the beginning,
+// and it may step while the process runs. It does no I/O and reads no clock.
+package startclock
+
+import (
+	"time"
+
+	"cresspass"
+)
+
+// Clock converts starts. It is for one goroutine at a time.
+//
+// The wall clock is read once, when the Clock is made; from then on only monotonic time counts, so a step
+// changes nothing. A clock that was wrong already at that moment shows in the ages that it gives: no node can
+// be told before it started, so the least age ever seen bounds the error from above. Taking that bound for the
+// error makes a node look younger than it is by the time that the quickest news took, never older. That holds
+// where only late starts are told (Late); where each node's start is told, however long ago, the least age may
+// be a year, and only a start that lies ahead shows an error.
+type Clock struct {
+	zero   time.Time     // wall clock...
+	at     time.Duration // ...at this monotonic time
+	least  time.Duration // the least age that was seen of a node when it was told
+	seen   bool          // least is set
+	kind   Source
+	starts map[cresspass.EngineID]start
+}
+
+// Source says which nodes' starts are told.
+type Source int
+
+// The sources.
+const (
+	Late  Source = iota // only of nodes that started lately
+	Every               // of every node
+)
+
+// aheadMost is how far ahead of the wall clock a start may lie to tell anything of that clock. What lies further
+// ahead is no start that a clock could show, and counts as now.
+const aheadMost = 24 * time.Hour
+
+// start is a converted start. It is kept, so that what is told again is not converted again.
+type start struct {
+	told time.Time
+	at   time.Duration
+}
+
+// New returns a Clock for a wall clock that shows wall at the monotonic time now.
+func New(kind Source, wall time.Time, now time.Duration) *Clock {
+	return &Clock{kind: kind, zero: wall.Round(0), at: now, starts: map[cresspass.EngineID]start{}}
+}
+
+// See takes in that a node was told to have started, without converting it. All nodes of a list are seen
+// before one of them is converted, so that the order in a list does not matter.
+func (c *Clock) See(now time.Duration, id cresspass.EngineID, told time.Time) {
+	if c.starts[id].told.Equal(told) {
+		return // known already: how old it is by now tells nothing of the clock
+	}
+	if age := c.age(now, told); age > -aheadMost && (!c.seen || age < c.least) {
+		c.least, c.seen = age, true
+	}
+}
+
+// Started returns the monotonic time of a node's start, the same each time that the same start is told. It is
+// after zero and not after now.
+func (c *Clock) Started(now time.Duration, id cresspass.EngineID, told time.Time) time.Duration {
+	if s, ok := c.starts[id]; ok && s.told.Equal(told) {
+		return s.at
+	}
+	c.See(now, id, told)
+	at := max(now-max(c.age(now, told)-c.error(), 0), 1)
+	c.starts[id] = start{told, at}
+	return at
+}
+
+// error is how far the wall clock is taken to be ahead; negative: behind.
+func (c *Clock) error() time.Duration {
+	if c.kind == Every {
+		return min(c.least, 0)
+	}
+	return c.least
+}
+
+// Forget drops a node that has left.
+func (c *Clock) Forget(id cresspass.EngineID) { delete(c.starts, id) }
+
+// Keep drops all nodes but those for which listed returns true.
+func (c *Clock) Keep(listed func(cresspass.EngineID) bool) {
+	for id := range c.starts {
+		if !listed(id) {
+			delete(c.starts, id)
+		}
+	}
+}
+
+// age is how old a node is by the wall clock as it was when the Clock was made.
+func (c *Clock) age(now time.Duration, told time.Time) time.Duration {
+	return c.zero.Add(now - c.at).Sub(told)
+}
--- /dev/null
+++ b/internal/startclock/startclock_test.go
@@ -0,0 +1,41 @@
+package startclock
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cresspass"
+)
+
+// TestNeverOlder: however wrong the wall clock is, and whatever order nodes are told in, none is taken to be
+// older than it is; where one was told at once, all that are told after it have their true age.
+func TestNeverOlder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		error := time.Duration(rapid.Int64Range(-4e12, 4e12).Draw(t, "error of the wall clock"))
+		c := New(Late, truth.Add(error), time.Hour)
+		prompt := false
+		for i := range 20 {
+			now := time.Hour + time.Duration(i)*time.Second
+			delay := time.Duration(rapid.Int64Range(0, 3).Draw(t, "delay")) * 5 * time.Second
+			id := cresspass.EngineID(fmt.Sprint(rapid.IntRange(0, 12).Draw(t, "node")))
+			told := truth.Add(now - time.Hour - delay)
+			_, known := c.starts[id]
+			got := c.Started(now, id, told)
+			want := now - delay
+			prompt = prompt || delay == 0
+			if got < want || got > now {
+				t.Fatalf("started %v ago, taken for %v", delay, now-got)
+			}
+			if prompt && !known && got != want {
+				t.Fatalf("after news without delay: started %v ago, taken for %v", delay, now-got)
+			}
+			if again := c.Started(now+time.Minute, id, told); again != got {
+				t.Fatalf("told again: %v, then %v", got, again)
+			}
+		}
+	})
+}
