Acknowledged records survive failing disks; a load leaves after its record is durable

Seen: TestAcknowledgedSurvives: a sync that failed, then a write that failed: record 2 acknowledged, 1 and not 2 read back; after a failed truncate one of five acknowledged records was read back. Ruled out: the reader (TestPowerLostAtAnyByte reads every prefix), rename and folder sync (Rewrite).

--- a/internal/server/keep.go
+++ b/internal/server/keep.go
@@ -57,17 +57,17 @@
 		}
 	}
 	if store != nil {
-		s.heed(book, now)
+		s.heed(book)
 	}
 	return nil
 }
 
 // heed has queries heed the loads of a dispatcher that ended.
-func (s *Server) heed(book *state.Book, now time.Time) {
+func (s *Server) heed(book *state.Book) {
 	s.store.Load().Put(state.Born(s.born))
-	r := state.Return(book, now, s.cfg.Module.Rules.OrderRest)
+	r := state.Return(book, state.Now(), s.cfg.Module.Rules.OrderRest)
 	s.mu.Lock()
-	s.returned = r
+	s.returned, s.returnedAt = r, time.Now()
 	s.mu.Unlock()
 	s.mourn(book)
 	if n := r.Left(); n > 0 || !book.Clean() {
@@ -84,7 +84,7 @@
 		s.log.Error("state not taken over", "error", err)
 	default:
 		s.store.Store(store)
-		s.heed(book, time.Now())
+		s.heed(book)
 	}
 }
 
@@ -160,18 +160,43 @@
 	}
 }
 
-// sending keeps a load that must not run twice, before it is sent. It returns the load's name, 0: none.
-func (s *Server) sending(q *query, engine cresspass.EngineID) uint64 {
+// sending keeps a load that must not run twice, before it is sent. It returns the load's name, 0: none, and a
+// channel that is closed once the record of it is durable.
+func (s *Server) sending(q *query, engine cresspass.EngineID) (uint64, <-chan struct{}) {
 	c := s.classOf(q.class)
 	store := s.store.Load()
 	if store == nil || c == nil || c.Effect == cresspass.Safe {
-		return 0
+		return 0, nil
+	}
+	id, now := s.nextID.Add(1), state.Now()
+	return id, store.PutDurable(state.Sent(state.Load{ID: id, Class: c.Name, Key: q.key, Hash: q.hash(),
+		Engine: string(engine), At: now.Wall, Boot: now.Boot, Up: now.Up,
+		Window: max(c.Window, s.cfg.Module.Rules.OrderRest), All: c.Scope == cresspass.ScopeAll}))
+}
+
+// durableMost is how long a load waits for its record. Danger: one that left before its record was durable is
+// not known after a death, and would be sent again inside its window; but a disk that fails must not hold up
+// queries.
+const durableMost = 100 * time.Millisecond
+
+// afterDurable calls start once a record is durable, or after durableMost. A nil channel is no record.
+func (s *Server) afterDurable(durable <-chan struct{}, start func()) {
+	if durable == nil {
+		start()
+		return
 	}
-	id := s.nextID.Add(1)
-	store.Put(state.Sent(state.Load{ID: id, Class: c.Name, Key: q.key, Hash: q.hash(), Engine: string(engine),
-		At: time.Now(), Window: max(c.Window, s.cfg.Module.Rules.OrderRest),
-		All: c.Scope == cresspass.ScopeAll}))
-	return id
+	s.work.Add(1) // in the loop's goroutine, which ends before anyone waits for the work
+	go func() {
+		defer s.work.Done()
+		limit := time.NewTimer(durableMost)
+		defer limit.Stop()
+		select {
+		case <-durable:
+		case <-limit.C:
+			s.undurable.Add(1)
+		}
+		start()
+	}()
 }
 
 // sentEnded forgets a load whose end is known. One that ended in doubt stays, until its window is over.
@@ -215,7 +240,7 @@
 	s.mu.Lock()
 	judged, wait := state.Go, time.Duration(0)
 	if s.returned != nil {
-		judged, wait = s.returned.Judge(time.Now(), ev.Class, ev.Key, q.hash())
+		judged, wait = s.returned.Judge(time.Since(s.returnedAt), ev.Class, ev.Key, q.hash())
 	}
 	s.mu.Unlock()
 	if judged == state.Rest && wait >= ev.TimeLeft {
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -60,17 +60,20 @@
 	hunt     *orphan.Hunt                // for sessions of former lives; under mu
 	store    atomic.Pointer[state.Store] // nil: nothing is kept
 	returned *state.Returned             // what a dispatcher that came back must heed; under mu
-	guarded  sync.Mutex
-	guard    *guard.Guard
-	inForce  *config.Config // the settings that were applied last; cfg are those of the start
-	trouble  atomic.Bool
-	source   roster.Source
-	addr     string
-	stop     context.CancelFunc
-	work     sync.WaitGroup
-	once     sync.Once
-	listed   chan struct{}
-	hasList  sync.Once
+	// when it came back
+	returnedAt time.Time
+	undurable  atomic.Uint64 // loads that left before their records were durable
+	guarded    sync.Mutex
+	guard      *guard.Guard
+	inForce    *config.Config // the settings that were applied last; cfg are those of the start
+	trouble    atomic.Bool
+	source     roster.Source
+	addr       string
+	stop       context.CancelFunc
+	work       sync.WaitGroup
+	once       sync.Once
+	listed     chan struct{}
+	hasList    sync.Once
 
 	nextID atomic.Uint64
 
@@ -476,7 +479,7 @@
 		s.loop.Post(cresspass.Event{Type: cresspass.Progress, Query: id, Attempt: attempt, Engine: engine,
 			Note: note, Value: v})
 	}
-	sent := s.sending(q, engine)
+	sent, durable := s.sending(q, engine)
 	a.Ended = func(r backend.Result) {
 		s.sentEnded(sent, r)
 		s.saw(engine, &r)
@@ -504,7 +507,7 @@
 	q.attempts[attempt] = a
 	q.started = true
 	s.mu.Unlock()
-	s.pool.Start(o.Engine, a)
+	s.afterDurable(durable, func() { s.pool.Start(engine, a) })
 }
 
 // probe asks an engine for a sign of life: an empty query, with whatever load report comes with its end.
--- a/internal/state/book.go
+++ b/internal/state/book.go
@@ -29,9 +29,11 @@
 	Key    string        `json:"key"`
 	Hash   uint64        `json:"hash"` // of its text and parameters: the same load again has the same
 	Engine string        `json:"engine"`
-	At     time.Time     `json:"at"`     // when it was sent, by the wall clock
-	Window time.Duration `json:"window"` // how long engines drop its repeats
-	All    bool          `json:"all"`    // all engines drop its repeats, not one group only
+	At     time.Time     `json:"at"` // when it was sent, by the wall clock
+	Boot   string        `json:"boot,omitempty"`
+	Up     time.Duration `json:"up,omitempty"` // when it was sent, since the machine's boot
+	Window time.Duration `json:"window"`       // how long engines drop its repeats
+	All    bool          `json:"all"`          // all engines drop its repeats, not one group only
 }
 
 // Book is what is in force of the records. It is the state's decisions: what is remembered, for how long, and
@@ -119,7 +121,7 @@
 }
 
 // Records returns the fewest records that say what is in force.
-func (b *Book) Records(now time.Time) (out []Record) {
+func (b *Book) Records(now Instant) (out []Record) {
 	if b.learnt != nil {
 		out = append(out, Learnt(b.at, b.learnt))
 	}
@@ -153,12 +155,13 @@
 // Open returns the loads whose end is not known and whose window is not over, the earliest first. Danger: the
 // wall clock may have jumped. A load from the future counts as sent now; it is forgotten a window later, not
 // an hour.
-func (b *Book) Open(now time.Time) (out []Load) {
+func (b *Book) Open(now Instant) (out []Load) {
 	for _, l := range b.loads {
-		if l.At.After(now) {
-			l.At = now
+		age := now.Sub(l.sent())
+		if age == 0 {
+			l.At, l.Boot, l.Up = now.Wall, now.Boot, now.Up
 		}
-		if now.Sub(l.At) <= l.Window {
+		if age <= l.Window {
 			out = append(out, l)
 		}
 	}
@@ -168,6 +171,9 @@
 	return out
 }
 
+// sent is when the load was sent.
+func (l *Load) sent() Instant { return Instant{l.At, l.Boot, l.Up} }
+
 // Learnt returns what the module had learnt and how old that is; nil: nothing. An age below zero, after a
 // clock that jumped back, counts as an hour: nobody knows it.
 func (b *Book) Learnt(now time.Time) (data []byte, age time.Duration) {
@@ -229,44 +235,55 @@
 	Refuse
 )
 
-// Returned decides over the queries that come to a dispatcher after its death.
+// Returned decides over the queries that come to a dispatcher after its death. All its times are since its
+// return, by a clock that does not step.
 type Returned struct {
-	back  time.Time
 	rest  time.Duration
-	loads []Load
+	loads []remembered
+}
+
+// remembered is a load with what is left of its window at the return.
+type remembered struct {
+	Load
+	left time.Duration
 }
 
 // Return returns the decisions of a dispatcher that came back at a time with a book; rest is the rest of a
 // key after a doubtful end.
-func Return(b *Book, back time.Time, rest time.Duration) *Returned {
-	return &Returned{back: back, rest: rest, loads: b.Open(back)}
+func Return(b *Book, back Instant, rest time.Duration) *Returned {
+	r := &Returned{rest: rest}
+	for _, l := range b.Open(back) {
+		r.loads = append(r.loads, remembered{l, l.Window - back.Sub(l.sent())})
+	}
+	return r
 }
 
 // Left is the number of loads that still count.
 func (r *Returned) Left() int { return len(r.loads) }
 
-// Judge says what may be done with a query of a class with a key and a hash of its text, and for how long.
+// Judge says what may be done, so long after the return, with a query of a class with a key and a hash of its
+// text, and for how long.
 // Its own dispatcher's death is a doubtful end of what was out: the key rests from the return. The same load
 // again is harmless only where engines still drop it; where only one group does, the module cannot be told
 // which, so it is refused until the window is over. A refusal promises that a later try is harmless, and it
 // is: by then the window's owner has either run it or not, and the client's next try is a new load by its own
 // word.
-func (r *Returned) Judge(now time.Time, class, key string, hash uint64) (Verdict, time.Duration) {
+func (r *Returned) Judge(since time.Duration, class, key string, hash uint64) (Verdict, time.Duration) {
 	if len(r.loads) == 0 {
 		return Go, 0
 	}
 	kept := r.loads[:0]
 	verdict, wait := Go, time.Duration(0)
 	for _, l := range r.loads {
-		left := l.Window - now.Sub(l.At)
-		if left <= 0 && now.Sub(r.back) >= r.rest {
+		left := l.left - since
+		if left <= 0 && since >= r.rest {
 			continue
 		}
 		kept = append(kept, l)
 		if l.Class == class && l.Hash == hash && hash != 0 && !l.All && left > 0 {
 			verdict, wait = Refuse, max(wait, left)
 		}
-		if rest := r.rest - now.Sub(r.back); verdict != Refuse && key != "" && l.Key == key && rest > 0 {
+		if rest := r.rest - since; verdict != Refuse && key != "" && l.Key == key && rest > 0 {
 			verdict, wait = Rest, max(wait, rest)
 		}
 	}
--- a/internal/state/fault_test.go
+++ b/internal/state/fault_test.go
@@ -1,9 +1,11 @@
 package state
 
 import (
+	"log/slog"
 	"slices"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // faulty is a disk whose calls fail as planned: one plan entry for each call of its kind, nil for none.
@@ -71,7 +73,7 @@
 			book := NewBook()
 			book.Take(records)
 			var read []uint64
-			for _, known := range book.Open(t0) {
+			for _, known := range book.Open(Instant{Wall: t0}) {
 				read = append(read, known.ID)
 			}
 			slices.Sort(read)
@@ -84,3 +86,55 @@
 		})
 	}
 }
+
+// TestDiskIsWellAgain: what a failing disk did not take is written when it is well again, without another
+// record; whoever waits for a record is told only then.
+func TestDiskIsWellAgain(t *testing.T) {
+	dir := t.TempDir()
+	l, _, _ := openLog(t, dir)
+	l.f = &faulty{File: l.f, writes: []error{syscall.ENOSPC, syscall.ENOSPC}, truncates: []error{syscall.EIO},
+		syncs: []error{syscall.EIO}}
+	s := &Store{log: l, book: NewBook(), slog: slog.New(slog.DiscardHandler), queue: make(chan entry, 8),
+		done: make(chan struct{})}
+	go s.run()
+	durable := s.PutDurable(Sent(load(1, t0)))
+	select {
+	case <-durable:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the record was never durable")
+	}
+	records, err := Peek(dir)
+	if err != nil || len(records) != 1 {
+		t.Errorf("told that it is durable, and %d records are there, %v", len(records), err)
+	}
+	if _, failed := s.Counts(); failed == 0 {
+		t.Error("no write failed")
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestWindowsAreRealTime: a wall clock that steps between two lives of a process shortens no window; after
+// another boot of the machine nobody knows what has passed, and the whole window counts.
+func TestWindowsAreRealTime(t *testing.T) {
+	sent := Instant{Wall: t0, Boot: "one", Up: time.Hour}
+	l := load(1, sent.Wall)
+	l.Boot, l.Up = sent.Boot, sent.Up
+	book := NewBook()
+	book.Take([]Record{Sent(l)})
+	for _, c := range []struct {
+		back Instant
+		want Verdict
+		wait time.Duration
+	}{
+		{Instant{t0.Add(time.Hour), "one", time.Hour + time.Second}, Refuse, 14 * time.Second},
+		{Instant{t0.Add(-time.Hour), "one", time.Hour + time.Second}, Refuse, 14 * time.Second},
+		{Instant{t0.Add(-time.Hour), "one", time.Hour + time.Minute}, Go, 0},
+		{Instant{t0.Add(time.Hour), "two", time.Second}, Refuse, 15 * time.Second},
+	} {
+		if v, wait := Return(book, c.back, 0).Judge(0, l.Class, "", l.Hash); v != c.want || wait != c.wait {
+			t.Errorf("back at %+v: verdict %d, wait %v; want %d, %v", c.back, v, wait, c.want, c.wait)
+		}
+	}
+}
--- /dev/null
+++ b/internal/state/instant.go
@@ -0,0 +1,41 @@
+package state
+
+import (
+	"os"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Instant is a moment as far as it can be told across the lives of a process. The wall clock may step between
+// two lives; the time since the machine's boot does not, and counts as long as the boot is the same.
+type Instant struct {
+	Wall time.Time
+	Boot string        // names the machine's boot; "": not known
+	Up   time.Duration // since that boot
+}
+
+// Now is the present moment.
+func Now() Instant {
+	now := Instant{Wall: time.Now()}
+	id, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+	var since unix.Timespec
+	if err == nil && unix.ClockGettime(unix.CLOCK_BOOTTIME, &since) == nil {
+		now.Boot, now.Up = strings.TrimSpace(string(id)), time.Duration(since.Nano())
+	}
+	return now
+}
+
+// Sub returns the time from then to now, at least zero. Where the machine was booted between the two, or its
+// clock says that then lies ahead, nobody knows it, and it counts as zero: what is remembered for a window is
+// remembered for the whole of it.
+func (now Instant) Sub(then Instant) time.Duration {
+	switch {
+	case now.Boot != then.Boot:
+		return 0
+	case now.Boot != "":
+		return max(now.Up-then.Up, 0)
+	}
+	return max(now.Wall.Sub(then.Wall), 0)
+}
--- a/internal/state/log.go
+++ b/internal/state/log.go
@@ -92,7 +92,8 @@
 type Log struct {
 	path string
 	f    File
-	size int64 // bytes that are good
+	size int64 // bytes that are durable
+	torn bool  // behind them may stand bytes of an append that failed
 	base int64 // size after it was last rewritten
 	lock *os.File
 	make func(path string) (File, error)
@@ -153,19 +154,30 @@
 	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, 0o600)
 }
 
-// Append adds records and makes them durable. After an error the log holds what it held before.
+// Append adds records and makes them durable. After an error the log holds what it held before, and the next
+// call begins by cutting off what the failed one may have left.
 func (l *Log) Append(records []Record) error {
+	// Danger: behind half a record nothing would be read, and bytes whose sync failed may be anything.
+	if l.torn {
+		if err := l.f.Truncate(l.size); err != nil {
+			return fmt.Errorf("state: cut back to %d bytes: %w", l.size, err)
+		}
+		l.torn = false
+	}
 	var out []byte
 	for _, r := range records {
 		out = appendRecord(out, r)
 	}
+	l.torn = true
 	if _, err := l.f.Write(out); err != nil {
-		// Danger: a full disk leaves half a record, behind which nothing would be read.
-		return errors.Join(fmt.Errorf("state: append: %w", err), l.f.Truncate(l.size))
+		// A full disk has less to hold this way; where it fails, the next call does it first.
+		l.torn = l.f.Truncate(l.size) != nil
+		return fmt.Errorf("state: append: %w", err)
 	}
 	if err := l.f.Sync(); err != nil {
 		return fmt.Errorf("state: sync: %w", err)
 	}
+	l.torn = false
 	l.size += int64(len(out))
 	return nil
 }
@@ -196,7 +208,7 @@
 	if l.f != nil {
 		l.f.Close()
 	}
-	l.f, l.size, l.base = f, int64(len(out)), int64(len(out))
+	l.f, l.size, l.base, l.torn = f, int64(len(out)), int64(len(out)), false
 	if d, err := os.Open(filepath.Dir(l.path)); err == nil {
 		err = d.Sync()
 		d.Close()
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -177,7 +177,7 @@
 			if rapid.IntRange(0, 5).Draw(t, "again") == 0 { // a death, or a rewriting
 				again := NewBook()
 				if rapid.Bool().Draw(t, "rewritten") {
-					records = book.Records(now)
+					records = book.Records(Instant{Wall: now})
 				}
 				again.Take(records)
 				book = again
@@ -188,10 +188,10 @@
 					want++
 				}
 			}
-			if got := book.Open(now); len(got) != want {
+			if got := book.Open(Instant{Wall: now}); len(got) != want {
 				t.Fatalf("%d open, want %d", len(got), want)
 			}
-			for _, l := range book.Open(now.Add(-time.Hour)) { // a clock that jumped back
+			for _, l := range book.Open(Instant{Wall: now.Add(-time.Hour)}) { // a clock that jumped back
 				if l.At.After(now.Add(-time.Hour)) {
 					t.Fatalf("a load from the future: %+v", l)
 				}
@@ -206,7 +206,7 @@
 	all.All = true
 	book.Take([]Record{Sent(zone), Sent(all)})
 	back := t0.Add(time.Second)
-	r := Return(book, back, 500*time.Millisecond)
+	r := Return(book, Instant{Wall: back}, 500*time.Millisecond)
 	for _, c := range []struct {
 		after time.Duration
 		key   string
@@ -224,7 +224,7 @@
 		{600 * time.Millisecond, "k1", 1, Refuse, 13400 * time.Millisecond}, // still in its window
 		{15 * time.Second, "k1", 1, Go, 0},                                  // over
 	} {
-		if v, wait := r.Judge(back.Add(c.after), "load", c.key, c.hash); v != c.want || wait != c.wait {
+		if v, wait := r.Judge(c.after, "load", c.key, c.hash); v != c.want || wait != c.wait {
 			t.Errorf("after %v key %s: verdict %d, wait %v", c.after, c.key, v, wait)
 		}
 	}
@@ -263,7 +263,7 @@
 		t.Fatal(err)
 	}
 	data, age := book.Learnt(now.Add(time.Minute))
-	if open := book.Open(now); len(open) != 1 || open[0].ID != 1234 || string(data) != "abc" ||
+	if open := book.Open(Instant{Wall: now}); len(open) != 1 || open[0].ID != 1234 || string(data) != "abc" ||
 		age > 61*time.Second {
 		t.Errorf("open %v, learnt %q of age %v", open, data, age)
 	}
@@ -346,8 +346,8 @@
 		}
 		book := NewBook()
 		book.Take(records)
-		if len(book.Open(now)) != 100 {
-			b.Fatal(len(book.Open(now)))
+		if len(book.Open(Instant{Wall: now})) != 100 {
+			b.Fatal(len(book.Open(Instant{Wall: now})))
 		}
 		l.Close()
 	}
