Every send, repeat, answer and take asks the books of what really happened

Seen: TestBudgetWhenBegun: a further attempt decided on within the budget waited for a descriptor until the requests that allowed it had left the window, and was written all the same (rule 7). Ruled out: the module's own count at the decision (budgetLeft keeps two ticks of slack on either edge). Lines at fault: attempt.go, mayBegin: it looked at client, drain and time again, not at the budget, the client's own time, or earlier attempts. Change: internal/invariant: a pure ledger of requests, attempts begun and their ends; acts.go asks it in the moment in which a query is written, and under each end and take. What was lawful when decided counts as withheld, what never was as a violation, with a line in the log that has the request's id. Both stand in the figures of the log.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -127,6 +127,7 @@
 type Follower struct {
 	last  uint64
 	addrs map[cresspass.EngineID]string
+	where map[cresspass.EngineID]Location
 	up    map[cresspass.EngineID]bool
 	gone  []cresspass.EngineID // since the last call of Gone
 	now   func() time.Duration
@@ -135,8 +136,8 @@
 
 // NewFollower returns a Follower; now is the module's time, clock turns starts into it.
 func NewFollower(now func() time.Duration, clock *startclock.Clock) *Follower {
-	return &Follower{addrs: map[cresspass.EngineID]string{}, up: map[cresspass.EngineID]bool{}, now: now,
-		clock: clock}
+	return &Follower{addrs: map[cresspass.EngineID]string{}, where: map[cresspass.EngineID]Location{},
+		up: map[cresspass.EngineID]bool{}, now: now, clock: clock}
 }
 
 // Last is the number of the last event taken.
@@ -145,6 +146,12 @@
 // Addr returns the address of a compute node, as it was last told; "" where none was.
 func (f *Follower) Addr(id cresspass.EngineID) string { return f.addrs[id] }
 
+// Location is what kind of machine a compute node is, and where it stands.
+type Location struct{ Kind, Zone string }
+
+// Location returns a compute node's location, as it was last told.
+func (f *Follower) Location(id cresspass.EngineID) Location { return f.where[id] }
+
 // Len returns how many compute nodes have an address.
 func (f *Follower) Len() int { return len(f.addrs) }
 
@@ -234,6 +241,7 @@
 		}
 		f.addrs = make(map[cresspass.EngineID]string, len(n.Pool.Servers))
 		clear(f.up)
+		clear(f.where)
 		f.clock.Keep(func(id cresspass.EngineID) bool { return listed[id] })
 	}
 	for i := range n.Pool.Servers {
@@ -242,10 +250,11 @@
 		if f.up[id] = s.State == "up"; s.State == "removed" {
 			delete(f.up, id)
 			delete(f.addrs, id)
+			delete(f.where, id)
 			f.clock.Forget(id)
 			f.gone = append(f.gone, id)
 		} else if s.Addr != "" {
-			f.addrs[id] = s.Addr
+			f.addrs[id], f.where[id] = s.Addr, Location{s.Kind, s.Zone}
 		}
 	}
 	return out, Taken, nil
--- /dev/null
+++ b/internal/platform/acts.go
@@ -0,0 +1,87 @@
+package platform
+
+import (
+	"sync"
+	"time"
+
+	"cresspass"
+	"cresspass/internal/computenode"
+	"cresspass/internal/invariant"
+	"cresspass/internal/thriftfront"
+)
+
+// acts is the one way to take, send, repeat, answer and close: the shell of an invariant.Ledger. Its lock is
+// taken last of all.
+type acts struct {
+	counter *invariant.Counter
+
+	mu     sync.Mutex
+	ledger *invariant.Ledger
+}
+
+// budgetSlack is how far the platform's clocks may be from ours, in ticks of the module, where it counts
+// further attempts.
+const budgetSlack = 4
+
+func newActs(cfg *cresspass.Config, counter *invariant.Counter) *acts {
+	r := &cfg.Rules
+	return &acts{counter: counter, ledger: invariant.NewLedger(invariant.Rules{Classes: cfg.Classes,
+		MayDuplicate: cfg.MayDuplicate,
+		Budget: invariant.Budget{On: r.HasBudget, Free: r.BudgetFree, Share: r.BudgetShare,
+			LookBack: r.BudgetLookBack, Slack: budgetSlack * max(cfg.Tick, time.Millisecond)}})}
+}
+
+// serve opens the books, or closes them.
+func (g *acts) serve(on bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Serve(on)
+}
+
+// take enters a request that came.
+func (g *acts) take(q *thriftfront.Request, key string) bool {
+	g.mu.Lock()
+	v := g.ledger.Take(time.Now(), invariant.Request{ID: q.ID, Class: q.Class, Key: key, Until: q.Until})
+	g.mu.Unlock()
+	return g.counter.Count(v, q.Ticket)
+}
+
+// end enters a request's one end.
+func (g *acts) end(q *thriftfront.Request) {
+	g.mu.Lock()
+	v := g.ledger.Answer(q.ID)
+	g.mu.Unlock()
+	g.counter.Count(v, q.Ticket)
+}
+
+// begin asks whether an attempt may be written now, and says how it ends if not.
+func (g *acts) begin(a *attempt) (why computenode.EventType, verdict invariant.Verdict) {
+	at := a.s.watch.place(a.engine, a.addr)
+	g.mu.Lock()
+	v := g.ledger.Begin(time.Now(), a.q.ID, a.number, at)
+	g.mu.Unlock()
+	if g.counter.Count(v, a.q.Ticket) {
+		return 0, v
+	}
+	switch v.Name {
+	case invariant.SentTooLate, invariant.SentToDrained, invariant.RepeatedLate:
+		return computenode.Withheld, v // it may go elsewhere, or be refused
+	}
+	return computenode.Unwanted, v // no other compute node helps
+}
+
+// done enters an attempt's end.
+func (g *acts) done(a *attempt, outcome cresspass.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ledger.Done(a.q.ID, a.number, outcome.NeverRan())
+}
+
+// mayClose asks whether a connection on which so many requests are open may be closed by us.
+func (g *acts) mayClose(open int, detail string) bool {
+	var v invariant.Verdict
+	if open > 0 {
+		v = invariant.Verdict{Kind: invariant.Violated, Name: invariant.ClosedWithOpen, Detail: detail}
+	}
+	return g.counter.Count(v, "")
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -169,16 +169,17 @@
 }
 
 // mayBegin looks again, in the moment in which the query is written. Danger: since the module decided, the
-// attempt may have waited for a connection and for a dial, and its client, its compute node or its time may
-// have gone meanwhile.
+// attempt may have waited for a connection and for a dial, and its client, its compute node, its time or its
+// budget may have gone meanwhile.
 func (a *attempt) mayBegin() (computenode.EventType, bool) {
-	switch {
-	case a.s.front.get(a.q.ID) == nil:
+	if a.s.front.get(a.q.ID) == nil {
 		return computenode.Unwanted, false
-	case !time.Now().Before(a.latest), !a.s.watch.takes(a.engine, a.addr):
+	}
+	if !time.Now().Before(a.latest) {
 		return computenode.Withheld, false
 	}
-	return 0, true
+	why, v := a.s.acts.begin(a)
+	return why, v.OK()
 }
 
 // call makes a step's call.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -411,6 +411,7 @@
 	c.f.mu.Lock()
 	v := c.f.state.Message(time.Now(), c.id, m)
 	if v.Taken != nil { // posted under the lock: what its client takes back at once must come after it
+		s.acts.take(v.Taken, v.Event.Key)
 		s.loop.Post(v.Event)
 	}
 	c.f.mu.Unlock()
@@ -513,10 +514,12 @@
 // answer writes a request's one answer. It returns false where the request has ended already.
 func (f *front) answer(id cresspass.QueryID, message func(seq int32) []byte) bool {
 	f.mu.Lock()
+	q := f.state.Get(id)
 	to, ok := f.state.Answer(time.Now(), id)
 	c := f.conns[to.Conn]
 	f.mu.Unlock()
 	if ok {
+		f.s.acts.end(q)
 		c.send(message(to.Seq), 1)
 	}
 	return ok
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -21,6 +21,7 @@
 	"cresspass"
 	"cresspass/internal/discovery"
 	"cresspass/internal/dispatch"
+	"cresspass/internal/invariant"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
 )
@@ -49,6 +50,7 @@
 	pool         *pool
 	front        *front
 	watch        *watcher
+	acts         *acts
 
 	mu       sync.Mutex
 	attempts map[attemptKey]*attempt
@@ -88,6 +90,7 @@
 	s := &service{cfg: cfg, path: path, log: log, clock: dispatch.Monotonic(),
 		reportFields: cfg.Module.ReportFields, attempts: map[attemptKey]*attempt{},
 		outcomes: map[cresspass.Outcome]uint64{}}
+	s.acts = newActs(&cfg.Module, invariant.NewCounter(log))
 	core, err := dispatch.NewCore(cfg.Module, s.clock())
 	if err != nil {
 		return nil, err
@@ -124,6 +127,7 @@
 	log.Info("serving", "name", cfg.Name, "listen", ln.Addr().String(), "board", cfg.Board,
 		"gateways", cfg.Module.Gateways, "classes", len(cfg.Module.Classes), "nodes", s.watch.known(),
 		"sockets", sockets, "memory_mb", cfg.Limits.MemoryMB, "cores", cfg.Limits.Cores)
+	s.acts.serve(true)
 	go s.loop.Run()
 	go s.watch.run()
 	go s.front.run()
@@ -227,6 +231,8 @@
 		"longest", longest,
 		"spoilt", s.spoilt.Load(), "broken", s.broken.Load(), "unread", s.unread.Load(),
 		"shut", s.shut.Load(), "lag", s.loop.Lag(),
+		"violations", invariant.Text(s.acts.counter.Violations()),
+		"withheld", invariant.Text(s.acts.counter.Withheld()),
 		"board", s.watch.asked.Load(), "goroutines", runtime.NumGoroutine(), "heap", heapBytes())
 }
 
@@ -260,11 +266,13 @@
 
 // clientGone ends a request for which nobody waits.
 func (s *service) clientGone(q *thriftfront.Request) {
+	s.acts.end(q)
 	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.ID, Outcome: cresspass.Cancelled})
 }
 
 // ended takes an attempt out of the books.
 func (s *service) ended(a *attempt, o cresspass.Outcome) {
+	s.acts.done(a, o)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes[o]++
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -15,6 +15,7 @@
 
 	"cresspass"
 	"cresspass/internal/discovery"
+	"cresspass/internal/invariant"
 	"cresspass/internal/startclock"
 )
 
@@ -69,6 +70,15 @@
 	return w.follower.Takes(engine, addr)
 }
 
+// place returns a compute node at an address as the invariants see it.
+func (w *watcher) place(engine cresspass.EngineID, addr string) invariant.Place {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	at := w.follower.Location(engine)
+	return invariant.Place{Engine: engine, Kind: at.Kind, Zone: at.Zone,
+		Takes: w.follower.Takes(engine, addr)}
+}
+
 // drains reports whether a compute node drains.
 func (w *watcher) drains(engine cresspass.EngineID) bool {
 	w.mu.Lock()
