Three failing tests: our own machine's failures, interrupted looks, slow discovery

The platform's system calls get a seam (system.go): dial, accept, peek and the wall clock, nothing changed in them.

--- a/gateway.go
+++ b/gateway.go
@@ -577,7 +577,7 @@
 	g.hold(q)
 	g.scout(q)
 	if left := q.deadline - g.now; left <= g.expiry() {
-		g.finish(q)
+		g.finish(q, ReasonTime)
 	} else {
 		g.timer(left-g.expiry(), uint64(q.id)+1)
 	}
@@ -774,9 +774,10 @@
 	for _, q := range line {
 		q.held = false
 		var e *engine
-		wait := false
+		wait, why := false, ReasonNoFit
 		switch {
 		case !g.mayTryAgain(q):
+			why = ReasonNoRepeat
 		case g.now < q.waits:
 			wait = true
 		case g.hasTurn(q):
@@ -790,7 +791,7 @@
 		case wait:
 			g.hold(q)
 		default:
-			g.finish(q)
+			g.finish(q, why)
 		}
 	}
 }
@@ -918,7 +919,13 @@
 	a := &attempt{q: q, e: e, trial: q.tries, at: g.now, base: g.base(q), est: g.estimate(q, e),
 		area: append([]float64(nil), e.area...), late: lateRatio}
 	g.terms(a)
-	g.do(Action{Type: Send, Query: q.id, Engine: e.ID})
+	send := Action{Type: Send, Query: q.id, Engine: e.ID}
+	if g.warmth(e) < 1 && g.cfg.Rules.ColdMultiple > 0 {
+		// Danger: a ration is for a moment. Sends that wait for a connection would come to a cold engine
+		// together with those of a later ration.
+		send.Within = g.cfg.Rules.ColdWindow / 2
+	}
+	g.do(send)
 	// Danger: sums come too late for what outlasts them, and gateways would fill the same engines.
 	if g.cfg.MayTell && g.gateways > 1 && a.base*q.c.threads >= tellLeast {
 		entry := []peerEntry{{tag: e.tag, load: q.c.threads}}
@@ -944,11 +951,11 @@
 
 // finish is the one place where queries end by our hand (rules 1 and 2): refused where trying again is
 // known to be harmless, else failed.
-func (g *Gateway) finish(q *query) {
+func (g *Gateway) finish(q *query, why Reason) {
 	if q.done {
 		return
 	}
-	answer := Action{Type: Fail, Query: q.id}
+	answer := Action{Type: Fail, Query: q.id, Reason: why}
 	ran := q.doubt != nil || len(q.out) > 0
 	if q.c.Effect == Safe || !ran || q.c.Effect == Keyed && q.c.Scope == ScopeAll {
 		answer.Type = Refuse
@@ -1002,8 +1009,10 @@
 	}
 	switch q.avoid = e; {
 	case q.done || len(q.out) > 0 || q.held:
-	case ev.Outcome == Moot || !g.mayTryAgain(q):
-		g.finish(q)
+	case ev.Outcome == Moot:
+		g.finish(q, ReasonMoot)
+	case !g.mayTryAgain(q):
+		g.finish(q, ReasonNoRepeat)
 	default:
 		g.hold(q)
 	}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,8 +49,12 @@
 	Peer     int
 	Data     []byte
 	Text     string
+	Reason   cresspass.Reason // with Refuse and Fail
 }
 
+// ReasonOverdue is the reason of a query that the module lost sight of.
+const ReasonOverdue cresspass.Reason = "its client's time is over"
+
 // Stats counts what a Core saw. Taken = Served + Refused + Failed + Gone + those still open.
 type Stats struct {
 	Taken, Served, Refused, Failed, Gone uint64
@@ -192,7 +196,7 @@
 	}
 	c.stats.Overdue++
 	c.stats.Failed++
-	c.out = append(c.out, Output{Type: Fail, Query: q.id})
+	c.out = append(c.out, Output{Type: Fail, Query: q.id, Reason: ReasonOverdue})
 	c.events = append(c.events, cresspass.Event{Type: cresspass.ClientGone, Query: q.id})
 	c.end(q, false)
 	c.handle()
@@ -322,10 +326,10 @@
 		if a.Type == cresspass.Refuse {
 			c.stats.Refused++
 			c.out = append(c.out, Output{Type: Refuse, Query: q.id, Wait: a.Wait, Ran: q.ran ||
-				len(q.out) > 0})
+				len(q.out) > 0, Reason: a.Reason})
 		} else {
 			c.stats.Failed++
-			c.out = append(c.out, Output{Type: Fail, Query: q.id})
+			c.out = append(c.out, Output{Type: Fail, Query: q.id, Reason: a.Reason})
 		}
 		q.ended = true
 		c.drop(q)
@@ -366,6 +370,9 @@
 	// Danger: between this decision and the engine lie a wait for a connection and a dial. A repeat that was
 	// inside the window when it was decided on would run twice if it came after it.
 	within := q.deadline - c.now
+	if a.Within > 0 {
+		within = min(within, a.Within)
+	}
 	if q.window > 0 {
 		first, ran := q.ranAt, q.ran
 		for _, a := range q.out {
--- /dev/null
+++ b/internal/platform/fault_test.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cresspass"
+)
+
+// TestOwnMachineFails: where a connection to a compute node fails by our own machine, for a moment, the compute
+// node is not blamed, and the query is served once the moment is over.
+func TestOwnMachineFails(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH,
+		syscall.ENFILE, syscall.EMFILE, syscall.ENOMEM} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			r := newRig(t, 256)
+			var fails atomic.Int32
+			fails.Store(3)
+			dial := r.pool.system.dial
+			r.pool.system.dial = func(ctx context.Context, timeout time.Duration, addr string) (net.Conn, error) {
+				if addr == address(r.node.Server) && fails.Add(-1) >= 0 {
+					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+				}
+				return dial(ctx, timeout, addr)
+			}
+			r.dial().served(1, 1)
+			if n := r.ends(cresspass.ConnectFailed); n != 0 {
+				t.Errorf("%d attempts count against the compute node", n)
+			}
+		})
+	}
+}
+
+// TestInterruptedLook: a look at a socket that is interrupted, or fails for want of memory, tells nothing: a
+// request that is there is taken, and no connection is closed over it.
+func TestInterruptedLook(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			r := newRig(t, 256)
+			a := r.dial()
+			a.served(1, 1)
+			look := r.system.peek
+			var fails atomic.Int32
+			fails.Store(2)
+			r.system.peek = func(fd uintptr) (int, error) {
+				if n, err := look(fd); n == 0 || err != nil || fails.Add(-1) < 0 {
+					return n, err
+				}
+				return 0, errno
+			}
+			a.net.SetDeadline(time.Now().Add(3 * time.Second))
+			a.served(2, 1)
+		})
+	}
+}
+
+// TestSlowDiscovery: a discovery that takes longer for its answer than a healthy one, each time, is heard all
+// the same.
+func TestSlowDiscovery(t *testing.T) {
+	r := newRig(t, 256)
+	slow := newNotices(t)
+	slow.add(true, "s-1", address(r.node.Server), "up")
+	slow.add(false, "s-2", address(r.node.Server), "up")
+	at := slow.Config.Handler
+	slow.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		select {
+		case <-time.After(quietMost + 500*time.Millisecond):
+			at.ServeHTTP(w, q)
+		case <-q.Context().Done():
+		}
+	})
+	r.watch.move(address(slow.Server))
+	within(t, "the slow discovery is heard", func() bool { return r.watch.addr("s-2") != "" })
+}
+
+// startFromPipe starts the program with a pipe for its configuration, which it waits for.
+func startFromPipe(t *testing.T) (c *exec.Cmd, pipe string, ended chan error) {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "cresspass")
+	build := exec.Command("go", "build", "-o", program, "cresspass/cmd/cresspass")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v\n%s", err, out)
+	}
+	pipe = filepath.Join(t.TempDir(), "pipe")
+	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c = exec.Command(program, "node")
+	c.Env = append(os.Environ(), "ROUTER_CONFIG="+pipe)
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	ended = make(chan error, 1)
+	go func() { ended <- c.Wait() }()
+	t.Cleanup(func() { c.Process.Kill() })
+	return c, pipe, ended
+}
+
+// feed writes a configuration into the pipe, once the program has opened it.
+func feed(t *testing.T, pipe string, data []byte) {
+	t.Helper()
+	f, err := os.OpenFile(pipe, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Write(data)
+	f.Close()
+}
+
+// opened waits until the program has the pipe open for reading.
+func opened(t *testing.T, pipe string) {
+	t.Helper()
+	within(t, "the program reads its configuration", func() bool {
+		f, err := os.OpenFile(pipe, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err == nil {
+			f.Close()
+		}
+		return err == nil
+	})
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -79,7 +79,7 @@
 	defer f.ln.Close()
 	empty := 0 // times in a row that the last call found nobody
 	for {
-		c, err := f.ln.AcceptTCP()
+		c, err := f.s.system.accept(f.ln)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -298,7 +298,7 @@
 	var n int
 	var got error
 	err := c.raw.Read(func(fd uintptr) bool {
-		n, got = peek(fd)
+		n, got = c.f.s.system.peek(fd)
 		return got != syscall.EAGAIN && got != syscall.EINTR
 	})
 	switch {
@@ -310,17 +310,10 @@
 	return got
 }
 
-// peek looks at what is there to be read: 0 and no error at the end.
-func peek(fd uintptr) (int, error) {
-	var b [1]byte
-	n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	return n, err
-}
-
 // unread reports whether something is there to be read, without waiting.
 func (c *client) unread() (some bool) {
 	c.raw.Control(func(fd uintptr) {
-		n, err := peek(fd)
+		n, err := c.f.s.system.peek(fd)
 		some = err == nil && n > 0
 	})
 	return some
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -34,6 +34,7 @@
 	addr   string
 	net    net.Conn
 	raw    syscall.RawConn
+	system *system
 	in     *bufio.Reader
 	rested time.Time // when its last answer was whole; zero: it is new
 	out    []byte
@@ -69,7 +70,7 @@
 	// Danger: raw.Read would fail where the last call's deadline is over, and every connection that was
 	// idle for long would look dead.
 	err := c.raw.Control(func(fd uintptr) {
-		_, err := peek(fd)
+		_, err := c.system.peek(fd)
 		silent = err == syscall.EAGAIN
 	})
 	return err == nil && silent
@@ -97,6 +98,7 @@
 
 // pool holds the connections to all compute nodes: the shell of a connpool.Pool.
 type pool struct {
+	system  *system
 	budget  *budget
 	connect time.Duration // time-out
 	zero    time.Time     // of the state's clock
@@ -113,8 +115,8 @@
 	longest       time.Duration // that anyone waited in line
 }
 
-func newPool(b *budget, connect, idle time.Duration) *pool {
-	p := &pool{budget: b, connect: connect, zero: time.Now(), idle: map[uint64]*nodeConn{},
+func newPool(sys *system, b *budget, connect, idle time.Duration) *pool {
+	p := &pool{system: sys, budget: b, connect: connect, zero: time.Now(), idle: map[uint64]*nodeConn{},
 		state: connpool.New(restFor, time.Duration(sparse*float64(idle))),
 		wait:  map[uint64]chan connpool.Grant{}}
 	p.settle = time.AfterFunc(time.Hour, p.sweep)
@@ -220,8 +222,7 @@
 
 // dial makes a connection that was granted.
 func (p *pool) dial(ctx context.Context, w want) (*nodeConn, error) {
-	d := net.Dialer{Timeout: p.connect, KeepAlive: -1}
-	c, err := d.DialContext(ctx, "tcp", w.addr)
+	c, err := p.system.dial(ctx, p.connect, w.addr)
 	var raw syscall.RawConn
 	if err == nil {
 		raw, err = c.(*net.TCPConn).SyscallConn()
@@ -238,7 +239,7 @@
 	}
 	p.last++
 	return &nodeConn{number: p.last, engine: w.engine, addr: w.addr, net: c, raw: raw,
-		in: bufio.NewReaderSize(c, 4096)}, nil
+		system: p.system, in: bufio.NewReaderSize(c, 4096)}, nil
 }
 
 // put gives a connection back; good: its last answer was whole and leaves it open.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -44,6 +44,7 @@
 	cfg          *Config
 	path         string
 	log          *slog.Logger
+	system       *system
 	clock        dispatch.Clock
 	loop         *dispatch.Loop
 	reportFields []string
@@ -87,7 +88,7 @@
 
 // start brings a dispatcher up. It serves from then on.
 func start(cfg *Config, path string, log *slog.Logger) (*service, error) {
-	s := &service{cfg: cfg, path: path, log: log, clock: dispatch.Monotonic(),
+	s := &service{cfg: cfg, path: path, log: log, system: newSystem(), clock: dispatch.Monotonic(),
 		reportFields: cfg.Module.ReportFields, attempts: map[attemptKey]*attempt{},
 		outcomes: map[cresspass.Outcome]uint64{}}
 	s.acts = newActs(&cfg.Module, invariant.NewCounter(log))
@@ -102,7 +103,7 @@
 		sockets = 1024
 	}
 	b := newBudget(sockets)
-	s.pool = newPool(b, cfg.ConnectTimeout, cfg.ConnIdle)
+	s.pool = newPool(s.system, b, cfg.ConnectTimeout, cfg.ConnIdle)
 	s.watch = newWatcher(s, cfg.Board)
 	for _, n := range cfg.Known.Notices {
 		s.watch.follower.See(n)
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -43,7 +43,7 @@
 
 func newWatcher(s *service, at string) *watcher {
 	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1)}
-	w.follower = discovery.NewFollower(s.clock, startclock.New(startclock.Late, time.Now(), s.clock()))
+	w.follower = discovery.NewFollower(s.clock, startclock.New(startclock.Late, s.system.wall(), s.clock()))
 	w.again = discovery.Backoff{Least: boardAgain, Most: boardMost,
 		Random: rand.New(rand.NewPCG(s.cfg.Module.Seed, 0))}
 	w.life, w.stop = context.WithCancel(context.Background())
@@ -141,8 +141,7 @@
 
 // ask reads one answer of the notice board until it ends. heard: something came.
 func (w *watcher) ask(ctx context.Context, at string, last uint64) (heard bool, err error) {
-	d := net.Dialer{Timeout: boardDial}
-	c, err := d.DialContext(ctx, "tcp", at)
+	c, err := w.s.system.dial(ctx, boardDial, at)
 	if err != nil {
 		return false, err
 	}
--- a/state.go
+++ b/state.go
@@ -325,7 +325,7 @@
 		if ev.Label == 0 {
 			g.watch()
 		} else if q := g.queries[QueryID(ev.Label-1)]; q != nil && g.now >= q.deadline-g.expiry() {
-			g.finish(q)
+			g.finish(q, ReasonTime)
 		}
 	case ProbeDone:
 		g.probed(ev)
--- a/types.go
+++ b/types.go
@@ -308,13 +308,13 @@
 
 // The actions a gateway can ask for.
 const (
-	Send      ActionType = iota // Query to Engine; Wait is the attempt's time-out, 0: the deadline
+	Send      ActionType = iota // Query to Engine, Within; Wait is the attempt's time-out, 0: the deadline
 	SetTimer                    // Wait, Label
 	FetchList                   // ask for the complete list once
 	CloseIdle                   // Engine
 	Tell                        // Peer (-1: all), Data
-	Refuse                      // Query; Wait is the come-back time, 0: none
-	Fail                        // Query
+	Refuse                      // Query, Reason; Wait is the come-back time, 0: none
+	Fail                        // Query, Reason
 	Probe                       // Engine
 	Cancel                      // Query, Attempt
 	SetTerms                    // Query, Priority, MemoryMB
@@ -322,6 +322,17 @@
 	Subscribe                   // On
 )
 
+// Reason says why a gateway ended a query without a result. It is for the log alone.
+type Reason string
+
+// The reasons.
+const (
+	ReasonTime     Reason = "no time is left"
+	ReasonNoFit    Reason = "no engine fits the time left"
+	ReasonNoRepeat Reason = "no further attempt is allowed"
+	ReasonMoot     Reason = "it could not be started"
+)
+
 // Action is one thing a gateway wants done; Type tells which fields count.
 type Action struct {
 	Type     ActionType
@@ -336,4 +347,6 @@
 	MemoryMB float64
 	Text     string
 	On       bool
+	Reason   Reason        // with Refuse and Fail
+	Within   time.Duration // with Send: the decision holds for so long; 0: until the deadline
 }
