Failures of our own machine blame nobody; a slow discovery is heard; three new red tests

Lines at fault: pool.go, dial (only EMFILE and ENFILE were ours) and attempt.go, do (a query without a descriptor was refused at once); front.go, await (EINTR waited for a poller that tells only what is new; any other error was the connection's end) and unread (an error was 'nothing there', so a close went over a request); watch.go, ask (500 ms to connect and 1.7 s to answer, however often that had not been enough) and its alive(), which could lift the deadline that move had just set. Change: calls that fail by our own machine are made again for a second; a look that tells nothing is made again, and counts as 'may be there' before a close; a call of discovery that is overdue goes on as the elder for 5 s while others are made beside it, one at a time; extend looks at the context after it has set a deadline.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -14,11 +14,7 @@
 	"cresspass/internal/thriftfront"
 )
 
-// Of probes.
-const (
-	probeWait  = 350 * time.Millisecond // for the answer
-	probeAgain = 20 * time.Millisecond  // before a descriptor is asked for again
-)
+const probeWait = 350 * time.Millisecond // for the answer
 
 // attempt is one query on one compute node: the shell of a computenode.Machine.
 type attempt struct {
@@ -131,7 +127,7 @@
 	for {
 		if c == nil {
 			var err error
-			if c, err = a.s.pool.get(ctx, w); err != nil {
+			if c, err = a.s.pool.getPatiently(ctx, w); err != nil {
 				return computenode.Event{Type: a.unreached(err)}, nil
 			}
 		}
@@ -242,12 +238,11 @@
 	var err error
 	for {
 		begun = time.Now()
-		c, err = s.pool.get(s.watch.life, want{engine: engine, addr: addr, spare: true, due: begun})
 		// Danger: that there is no descriptor tells nothing of the compute node, which would be shunned.
+		c, err = s.pool.getPatiently(s.watch.life, want{engine: engine, addr: addr, spare: true, due: begun})
 		if !errors.Is(err, errNoSlot) || s.watch.life.Err() != nil {
 			break
 		}
-		sleep(s.watch.life, probeAgain)
 	}
 	if err != nil {
 		ev.Outcome = cresspass.ConnectFailed
--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -15,22 +15,37 @@
 	"cresspass"
 )
 
+// withSystem has the dispatchers that a test starts make some system calls otherwise.
+func withSystem(t *testing.T, change func(s *system)) {
+	t.Helper()
+	was := newSystem
+	t.Cleanup(func() { newSystem = was })
+	newSystem = func() *system {
+		s := realSystem()
+		change(s)
+		return s
+	}
+}
+
 // TestOwnMachineFails: where a connection to a compute node fails by our own machine, for a moment, the compute
 // node is not blamed, and the query is served once the moment is over.
 func TestOwnMachineFails(t *testing.T) {
 	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH,
 		syscall.ENFILE, syscall.EMFILE, syscall.ENOMEM} {
 		t.Run(errno.Error(), func(t *testing.T) {
-			r := newRig(t, 256)
 			var fails atomic.Int32
-			fails.Store(3)
-			dial := r.pool.system.dial
-			r.pool.system.dial = func(ctx context.Context, timeout time.Duration, addr string) (net.Conn, error) {
-				if addr == address(r.node.Server) && fails.Add(-1) >= 0 {
-					return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+			withSystem(t, func(s *system) {
+				dial := s.dial
+				s.dial = func(ctx context.Context, timeout time.Duration, addr string) (net.Conn, error) {
+					if fails.Add(-1) >= 0 {
+						return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+					}
+					return dial(ctx, timeout, addr)
 				}
-				return dial(ctx, timeout, addr)
-			}
+			})
+			r := newRig(t, 256)
+			within(t, "discovery is asked", func() bool { return len(r.board.asked()) > 0 })
+			fails.Store(3)
 			r.dial().served(1, 1)
 			if n := r.ends(cresspass.ConnectFailed); n != 0 {
 				t.Errorf("%d attempts count against the compute node", n)
@@ -44,18 +59,20 @@
 func TestInterruptedLook(t *testing.T) {
 	for _, errno := range []syscall.Errno{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM} {
 		t.Run(errno.Error(), func(t *testing.T) {
+			var fails atomic.Int32
+			withSystem(t, func(s *system) {
+				look := s.peek
+				s.peek = func(fd uintptr) (int, error) {
+					if n, err := look(fd); n == 0 || err != nil || fails.Add(-1) < 0 {
+						return n, err
+					}
+					return 0, errno
+				}
+			})
 			r := newRig(t, 256)
 			a := r.dial()
 			a.served(1, 1)
-			look := r.system.peek
-			var fails atomic.Int32
 			fails.Store(2)
-			r.system.peek = func(fd uintptr) (int, error) {
-				if n, err := look(fd); n == 0 || err != nil || fails.Add(-1) < 0 {
-					return n, err
-				}
-				return 0, errno
-			}
 			a.net.SetDeadline(time.Now().Add(3 * time.Second))
 			a.served(2, 1)
 		})
@@ -126,3 +143,70 @@
 		return err == nil
 	})
 }
+
+// TestReloadBeforeTheStart: SIGHUP before the configuration is read does not end the dispatcher.
+func TestReloadBeforeTheStart(t *testing.T) {
+	c, pipe, ended := startFromPipe(t)
+	opened(t, pipe)
+	c.Process.Signal(syscall.SIGHUP)
+	select {
+	case err := <-ended:
+		t.Fatalf("it ended: %v", err)
+	case <-time.After(200 * time.Millisecond):
+	}
+}
+
+// TestTermAfterManyReloads: a signal to end is not lost behind many to reload, while one of them still waits for
+// its file.
+func TestTermAfterManyReloads(t *testing.T) {
+	r := newRig(t, 256)
+	signals := make(chan os.Signal, 8)
+	stop := notify(signals)
+	defer stop()
+	for range 2 * cap(signals) { // nobody takes them yet
+		syscall.Kill(os.Getpid(), syscall.SIGHUP)
+		time.Sleep(time.Millisecond)
+	}
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	time.Sleep(10 * time.Millisecond)
+	ended := make(chan error, 1)
+	go func() { ended <- r.live(signals) }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(waitMost + endSlack + 3*time.Second):
+		t.Error("it does not end")
+	}
+}
+
+// TestAcceptFails: an accept that fails by the moment costs no client its connection, and no wait; where
+// descriptors have run out, an idle connection makes room.
+func TestAcceptFails(t *testing.T) {
+	for errno, room := range map[syscall.Errno]bool{syscall.ECONNABORTED: false, syscall.ENOBUFS: false,
+		syscall.ENETDOWN: false, syscall.EMFILE: true, syscall.ENFILE: true} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			var fails atomic.Int32
+			withSystem(t, func(s *system) {
+				accept := s.accept
+				s.accept = func(ln *net.TCPListener) (*net.TCPConn, error) {
+					if fails.Add(-1) >= 0 {
+						return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}
+					}
+					return accept(ln)
+				}
+			})
+			r := newRig(t, 256)
+			idle := r.dial()
+			idle.served(1, 1)
+			time.Sleep(muteFor + 50*time.Millisecond)
+			fails.Store(2)
+			r.dial().served(2, 1) // taken by the accept under way
+			r.dial().served(3, 1)
+			if kept := r.front.size() == 3; kept == room {
+				t.Errorf("the idle connection is kept: %v", kept)
+			}
+		})
+	}
+}
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -31,6 +31,7 @@
 	lastLook    = 2 * time.Millisecond   // for who waits for accept, once no more should come...
 	lastLooks   = 3                      // ...so often in vain
 	lingerFor   = 200 * time.Millisecond // for a client to close a connection that was shut for writing
+	lookAgain   = time.Millisecond       // after a look at a socket that failed and tells nothing
 	roomTries   = 4                      // connections looked at to make room for one
 )
 
@@ -295,26 +296,33 @@
 	if c.in.Buffered() > 0 {
 		return nil
 	}
-	var n int
-	var got error
-	err := c.raw.Read(func(fd uintptr) bool {
-		n, got = c.f.s.system.peek(fd)
-		return got != syscall.EAGAIN && got != syscall.EINTR
-	})
-	switch {
-	case err != nil:
-		return err
-	case got == nil && n == 0:
-		return io.EOF
+	for {
+		var n int
+		var got error
+		err := c.raw.Read(func(fd uintptr) bool {
+			n, got = c.f.s.system.peek(fd)
+			return got != syscall.EAGAIN
+		})
+		switch {
+		case err != nil:
+			return err
+		case transient(got):
+			// Danger: it tells nothing. Waiting for the poller instead, which tells only of what is new,
+			// would leave what is there unread for good.
+			time.Sleep(lookAgain)
+		case got == nil && n == 0:
+			return io.EOF
+		default:
+			return got
+		}
 	}
-	return got
 }
 
-// unread reports whether something is there to be read, without waiting.
+// unread reports whether something is there to be read, without waiting. Where the look fails it may be so.
 func (c *client) unread() (some bool) {
 	c.raw.Control(func(fd uintptr) {
 		n, err := c.f.s.system.peek(fd)
-		some = err == nil && n > 0
+		some = err == nil && n > 0 || transient(err)
 	})
 	return some
 }
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -161,6 +161,24 @@
 	}
 }
 
+// How often a connection is asked for again where our own machine has none for a moment.
+const (
+	ownAgain = 10 * time.Millisecond // before the first time, doubled each time...
+	ownMost  = time.Second           // ...until that has passed
+)
+
+// getPatiently is get; where our own machine has no connection for a moment, it is asked for again.
+func (p *pool) getPatiently(ctx context.Context, w want) (*nodeConn, error) {
+	for pause, waited := ownAgain, time.Duration(0); ; pause *= 2 {
+		c, err := p.get(ctx, w)
+		if !errors.Is(err, errNoSlot) || ctx.Err() != nil || waited >= ownMost {
+			return c, err
+		}
+		sleep(ctx, pause)
+		waited += pause
+	}
+}
+
 // ask waits for a grant.
 func (p *pool) ask(ctx context.Context, w want) (connpool.Grant, error) {
 	got := make(chan connpool.Grant, 1)
@@ -232,7 +250,7 @@
 	p.dials++
 	if err != nil {
 		p.do(p.state.Gone(p.limits()))
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		if ownMachine(err) {
 			return nil, errNoSlot // danger: it tells nothing of the compute node
 		}
 		return nil, err
@@ -244,7 +262,7 @@
 
 // put gives a connection back; good: its last answer was whole and leaves it open.
 func (p *pool) put(c *nodeConn, good bool) {
-	good = good && c.usable()
+	good = good && c.usable() // looked at without the lock
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if good && !p.closed {
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -78,7 +78,7 @@
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
 	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	defer notify(signals)()
 	s, err := start(cfg, path, log)
 	if err != nil {
 		return err
@@ -86,6 +86,12 @@
 	return s.live(signals)
 }
 
+// notify has the signals of a dispatcher come to a channel, until the function it returns is called.
+func notify(signals chan os.Signal) (stop func()) {
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	return func() { signal.Stop(signals) }
+}
+
 // start brings a dispatcher up. It serves from then on.
 func start(cfg *Config, path string, log *slog.Logger) (*service, error) {
 	s := &service{cfg: cfg, path: path, log: log, system: newSystem(), clock: dispatch.Monotonic(),
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -21,8 +22,9 @@
 
 const (
 	quietMost  = 1700 * time.Millisecond // a comment comes each second: more silence than this is a stop
-	boardDial  = 500 * time.Millisecond
-	boardAgain = 50 * time.Millisecond // before the notice board is asked again, see discovery.Backoff
+	boardDial  = 500 * time.Millisecond  // until another call is begun beside one that has not connected
+	elderMost  = 5 * time.Second         // for the answer to a call, while others are made beside it
+	boardAgain = 50 * time.Millisecond   // before the notice board is asked again, see discovery.Backoff
 	boardMost  = 400 * time.Millisecond
 )
 
@@ -33,16 +35,15 @@
 	life  context.Context
 	stop  context.CancelFunc // ends run
 	again discovery.Backoff
-	moved chan struct{} // the address was changed
 
 	mu       sync.Mutex
 	follower *discovery.Follower
 	at       string
-	cancel   context.CancelFunc // of the call under way
+	cancel   context.CancelFunc // of all that goes on at this address
 }
 
 func newWatcher(s *service, at string) *watcher {
-	w := &watcher{s: s, at: at, moved: make(chan struct{}, 1)}
+	w := &watcher{s: s, at: at}
 	w.follower = discovery.NewFollower(s.clock, startclock.New(startclock.Late, s.system.wall(), s.clock()))
 	w.again = discovery.Backoff{Least: boardAgain, Most: boardMost,
 		Random: rand.New(rand.NewPCG(s.cfg.Module.Seed, 0))}
@@ -95,89 +96,221 @@
 	if w.cancel != nil {
 		w.cancel()
 	}
-	select {
-	case w.moved <- struct{}{}:
-	default:
+}
+
+// last is the number of the last event.
+func (w *watcher) last() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.follower.Last()
+}
+
+// opening is a call of discovery that is not answered yet.
+type opening struct {
+	at        string
+	last      uint64
+	begun     time.Time
+	cancel    context.CancelFunc
+	connected atomic.Bool
+	result    chan openResult
+}
+
+// openResult is what became of an opening.
+type openResult struct {
+	stream *stream
+	err    error
+}
+
+// stream is an answered call.
+type stream struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+	net    net.Conn
+	body   io.ReadCloser
+}
+
+func (s *stream) close() {
+	s.cancel()
+	s.body.Close()
+	s.net.Close()
+}
+
+// overdue is how long an opening has until another is begun beside it.
+func (o *opening) overdue() time.Duration {
+	if o.connected.Load() {
+		return time.Until(o.begun.Add(boardDial + quietMost))
+	}
+	return time.Until(o.begun.Add(boardDial))
+}
+
+// drop gives an opening up.
+func (o *opening) drop() {
+	if o == nil {
+		return
 	}
+	o.cancel()
+	go func() {
+		if got := <-o.result; got.stream != nil {
+			got.stream.close()
+		}
+	}()
 }
 
 // run asks until stop.
 func (w *watcher) run() {
 	for w.life.Err() == nil {
-		ctx, cancel := context.WithCancel(w.life)
-		w.mu.Lock()
-		at, last := w.at, w.follower.Last()
-		w.cancel = cancel
-		select {
-		case <-w.moved: // to the address just read
-		default:
-		}
-		w.mu.Unlock()
+		ctx, at := w.address()
+		w.watch(ctx, at)
+		w.again.Heard()
+	}
+}
+
+// address returns where to ask, and a context that ends when that changes.
+func (w *watcher) address() (context.Context, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, cancel := context.WithCancel(w.life)
+	w.cancel = cancel
+	return ctx, w.at
+}
+
+// watch asks at one address until the context ends. Danger: a discovery that is slow answers late, one that is
+// cut off never, and the two look alike. So a call that is overdue is kept as the elder, and others are made
+// beside it, one at a time.
+func (w *watcher) watch(ctx context.Context, at string) {
+	var elder *opening
+	defer func() { elder.drop() }()
+	for ctx.Err() == nil {
 		w.asked.Add(1)
-		heard, err := w.ask(ctx, at, last)
-		moved := ctx.Err() != nil
-		cancel()
-		if heard || moved {
-			w.again.Heard()
+		last := w.last()
+		got, rest := w.await(ctx, w.open(ctx, at, last), elder)
+		heard, err := false, got.err
+		if elder = rest; got.stream != nil {
+			elder.drop()
+			elder = nil
+			heard, err = w.follow(got.stream)
 		}
-		if moved {
-			continue
+		if heard {
+			w.again.Heard()
 		}
-		if err != nil {
+		if err != nil && ctx.Err() == nil {
 			w.s.log.Warn("notice board", "address", at, "from", last, "error", err)
 		}
-		pause := time.NewTimer(w.again.Next())
+		sleep(ctx, w.again.Next())
+	}
+}
+
+// await waits until one of two openings is answered, or the younger has failed or is overdue. It returns what
+// came, and the opening that goes on; the other one is dropped. elder may be nil.
+func (w *watcher) await(ctx context.Context, young, elder *opening) (openResult, *opening) {
+	late := time.NewTimer(young.overdue())
+	defer late.Stop()
+	for {
+		var old chan openResult
+		if elder != nil {
+			old = elder.result
+		}
 		select {
-		case <-pause.C:
-		case <-w.moved:
-			w.again.Heard()
-		case <-w.life.Done():
+		case got := <-young.result:
+			return got, elder
+		case got := <-old:
+			if got.stream != nil {
+				young.drop()
+				return got, nil
+			}
+			elder = nil
+		case <-late.C:
+			if left := young.overdue(); left > 0 { // it has connected meanwhile
+				late.Reset(left)
+				continue
+			}
+			if elder == nil {
+				return openResult{err: errQuiet}, young
+			}
+			young.drop()
+			return openResult{err: errQuiet}, elder
+		case <-ctx.Done():
+			young.drop()
+			elder.drop()
+			return openResult{err: ctx.Err()}, nil
 		}
-		pause.Stop()
 	}
 }
 
 var errQuiet = errors.New("nothing came for too long")
 
-// ask reads one answer of the notice board until it ends. heard: something came.
-func (w *watcher) ask(ctx context.Context, at string, last uint64) (heard bool, err error) {
-	c, err := w.s.system.dial(ctx, boardDial, at)
+// open begins a call of discovery from the last event on. It has elderMost to be answered.
+func (w *watcher) open(ctx context.Context, at string, last uint64) *opening {
+	o := &opening{at: at, last: last, begun: time.Now(), result: make(chan openResult, 1)}
+	ctx, o.cancel = context.WithCancel(ctx)
+	go func() {
+		s, err := w.call(ctx, o)
+		if err != nil {
+			o.cancel()
+		}
+		o.result <- openResult{s, err}
+	}()
+	return o
+}
+
+// call connects, asks, and reads the head of the answer.
+func (w *watcher) call(ctx context.Context, o *opening) (*stream, error) {
+	c, err := w.s.system.dial(ctx, elderMost, o.at)
 	if err != nil {
-		return false, err
+		return nil, err
 	}
-	defer c.Close()
+	o.connected.Store(true)
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	alive := func() { c.SetDeadline(time.Now().Add(quietMost)) }
-	alive()
-	if ctx.Err() != nil {
-		return false, ctx.Err()
+	fail := func(err error) (*stream, error) {
+		c.Close()
+		return nil, err
+	}
+	if !extend(ctx, c, time.Until(o.begun.Add(elderMost))) {
+		return fail(ctx.Err())
 	}
-	r, err := http.NewRequest("GET", "http://"+at+"/board/poll", nil)
+	r, err := http.NewRequest("GET", "http://"+o.at+"/board/poll", nil)
 	if err != nil {
-		return false, err
+		return fail(err)
 	}
 	r.Header.Set("Accept", "text/event-stream")
-	r.Header.Set("Last-Event-ID", strconv.FormatUint(last, 10))
+	r.Header.Set("Last-Event-ID", strconv.FormatUint(o.last, 10))
 	if err := r.Write(c); err != nil {
-		return false, err
+		return fail(err)
 	}
 	resp, err := http.ReadResponse(bufio.NewReader(c), r)
 	if err != nil {
-		return false, err
+		return fail(err)
 	}
-	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return false, fmt.Errorf("answered %s", resp.Status)
+		resp.Body.Close()
+		return fail(fmt.Errorf("answered %s", resp.Status))
 	}
+	return &stream{ctx, o.cancel, c, resp.Body}, nil
+}
+
+// extend gives a connection so long from now, unless its context has ended. Danger: the context's end sets a
+// deadline that is over, and must not be lifted again by one that was on its way.
+func extend(ctx context.Context, c net.Conn, d time.Duration) bool {
+	c.SetDeadline(time.Now().Add(d))
+	return ctx.Err() == nil
+}
+
+// follow takes events from a stream until it ends. heard: something came.
+func (w *watcher) follow(s *stream) (heard bool, err error) {
+	defer s.close()
+	stop := context.AfterFunc(s.ctx, func() { s.net.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	var p discovery.Parser
 	b := make([]byte, 8<<10)
 	for {
-		n, err := resp.Body.Read(b)
-		if ctx.Err() != nil {
-			return true, ctx.Err()
+		if !extend(s.ctx, s.net, quietMost) {
+			return true, s.ctx.Err()
+		}
+		n, err := s.body.Read(b)
+		if s.ctx.Err() != nil {
+			return true, s.ctx.Err()
 		}
-		alive()
 		var bad error
 		if e := p.Feed(b[:n], func(ev discovery.Event) {
 			if bad == nil {
