Signals are asked for first, and none to end is lost; a failed accept closes nobody

Lines at fault: service.go, Run (signal.Notify after Load, one channel of 8 for all); daemon.go, Run, the same for serve; front.go, run (any error made room). Change: internal/signals: one place for reloads and one for ends, relayed without dropping an end; node and serve ask for them before they read anything; only EMFILE and ENFILE make room. Daemon and platform tests of signals, ends and processes pass.

--- a/cmd/cresspass/main.go
+++ b/cmd/cresspass/main.go
@@ -19,6 +19,7 @@
 
 	"cresspass/internal/config"
 	"cresspass/internal/daemon"
+	"cresspass/internal/signals"
 )
 
 type cli struct {
@@ -94,10 +95,13 @@
 }
 
 func (c serveCmd) Run() error {
+	all, stop := signals.Notify()
+	defer stop()
 	o, err := c.options()
 	if err != nil {
 		return err
 	}
+	o.Signals = all
 	return daemon.Run(context.Background(), *o)
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync/atomic"
@@ -21,6 +20,7 @@
 	"cresspass/internal/config"
 	"cresspass/internal/life"
 	"cresspass/internal/server"
+	"cresspass/internal/signals"
 )
 
 // Options say how a daemon is run.
@@ -34,6 +34,8 @@
 	Takeover bool
 	// closed: as SIGTERM; may be nil
 	Stop <-chan struct{}
+	// of package signals, asked for before the settings were read; nil: asked for at the start
+	Signals <-chan os.Signal
 	// nil: server.StartOn
 	Start func(cfg *config.Config, log *slog.Logger, ln net.Listener) (*server.Server, error)
 }
@@ -61,20 +63,23 @@
 func Run(ctx context.Context, o Options) error {
 	d := &daemon{o: o, log: o.Log, life: life.New(life.Config{DrainFor: o.Config.DrainFor, HandFor: handFor}),
 		events: make(chan life.Event, 64), zero: time.Now()}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	all := o.Signals
+	if all == nil {
+		var stop func()
+		all, stop = signals.Notify()
+		defer stop()
+	}
 	// Start order: the socket, so that clients wait and are not refused; then all else; ready once a list is
 	// known.
 	var former *former
 	var err error
 	if o.Takeover {
-		var all []*net.TCPListener
-		if all, former, err = takeSockets(o.Config.Takeover); err != nil {
+		var sockets []*net.TCPListener
+		if sockets, former, err = takeSockets(o.Config.Takeover); err != nil {
 			return fmt.Errorf("takeover: %w", err)
 		}
-		d.ln = all[0]
-		for _, ln := range all[1:] {
+		d.ln = sockets[0]
+		for _, ln := range sockets[1:] {
 			if o.Config.Flight.Listen != "" {
 				o.Config.FlightListener = ln
 			} else {
@@ -130,7 +135,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	d.loop(ctx, signals)
+	d.loop(ctx, all)
 	return nil
 }
 
--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/signals"
 )
 
 // withSystem has the dispatchers that a test starts make some system calls otherwise.
@@ -121,56 +122,48 @@
 	return c, pipe, ended
 }
 
-// feed writes a configuration into the pipe, once the program has opened it.
-func feed(t *testing.T, pipe string, data []byte) {
+// opened waits until the program reads from the pipe, and returns its other end.
+func opened(t *testing.T, pipe string) (f *os.File) {
 	t.Helper()
-	f, err := os.OpenFile(pipe, os.O_WRONLY, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.Write(data)
-	f.Close()
-}
-
-// opened waits until the program has the pipe open for reading.
-func opened(t *testing.T, pipe string) {
-	t.Helper()
-	within(t, "the program reads its configuration", func() bool {
-		f, err := os.OpenFile(pipe, os.O_WRONLY|syscall.O_NONBLOCK, 0)
-		if err == nil {
-			f.Close()
-		}
+	within(t, "the program reads its configuration", func() (ok bool) {
+		var err error
+		f, err = os.OpenFile(pipe, os.O_WRONLY|syscall.O_NONBLOCK, 0)
 		return err == nil
 	})
+	t.Cleanup(func() { f.Close() })
+	return f
 }
 
 // TestReloadBeforeTheStart: SIGHUP before the configuration is read does not end the dispatcher.
 func TestReloadBeforeTheStart(t *testing.T) {
 	c, pipe, ended := startFromPipe(t)
-	opened(t, pipe)
+	f := opened(t, pipe)
 	c.Process.Signal(syscall.SIGHUP)
 	select {
 	case err := <-ended:
 		t.Fatalf("it ended: %v", err)
 	case <-time.After(200 * time.Millisecond):
 	}
+	f.Close() // no configuration: an honest end
+	if err := <-ended; c.ProcessState.ExitCode() != 1 {
+		t.Errorf("ended without a configuration: %v", err)
+	}
 }
 
 // TestTermAfterManyReloads: a signal to end is not lost behind many to reload, while one of them still waits for
 // its file.
 func TestTermAfterManyReloads(t *testing.T) {
 	r := newRig(t, 256)
-	signals := make(chan os.Signal, 8)
-	stop := notify(signals)
+	all, stop := signals.Notify()
 	defer stop()
-	for range 2 * cap(signals) { // nobody takes them yet
+	for range 16 { // nobody takes them yet
 		syscall.Kill(os.Getpid(), syscall.SIGHUP)
 		time.Sleep(time.Millisecond)
 	}
 	syscall.Kill(os.Getpid(), syscall.SIGTERM)
 	time.Sleep(10 * time.Millisecond)
 	ended := make(chan error, 1)
-	go func() { ended <- r.live(signals) }()
+	go func() { ended <- r.live(all) }()
 	select {
 	case err := <-ended:
 		if err != nil {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -94,8 +94,10 @@
 			continue
 		}
 		empty = 0
-		if err != nil { // no descriptor left, or the client has gone again
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
 			f.crowded(muteFor)
+		}
+		if err != nil { // also where the client has gone again, or the machine fails for a moment
 			time.Sleep(acceptPause)
 			continue
 		}
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -7,7 +7,6 @@
 	"math"
 	"net"
 	"os"
-	"os/signal"
 	"reflect"
 	"runtime"
 	"runtime/debug"
@@ -22,6 +21,7 @@
 	"cresspass/internal/discovery"
 	"cresspass/internal/dispatch"
 	"cresspass/internal/invariant"
+	"cresspass/internal/signals"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
 )
@@ -67,6 +67,8 @@
 
 // Run is a dispatcher on the platform, by the configuration in a file, until SIGTERM.
 func Run(path string, log *slog.Logger) error {
+	all, stop := signals.Notify()
+	defer stop()
 	cfg, err := Load(path)
 	if err != nil {
 		return err
@@ -77,19 +79,11 @@
 	if cfg.Limits.Cores > 0 {
 		runtime.GOMAXPROCS(int(math.Ceil(cfg.Limits.Cores)))
 	}
-	signals := make(chan os.Signal, 8)
-	defer notify(signals)()
 	s, err := start(cfg, path, log)
 	if err != nil {
 		return err
 	}
-	return s.live(signals)
-}
-
-// notify has the signals of a dispatcher come to a channel, until the function it returns is called.
-func notify(signals chan os.Signal) (stop func()) {
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
-	return func() { signal.Stop(signals) }
+	return s.live(all)
 }
 
 // start brings a dispatcher up. It serves from then on.
