Request ids, state changes and the reason of every close, retry and refusal in the log

Need: the log could not say why a request was refused, why an attempt was not written or who closed a connection. Change: events of requests by their ids go into a ring of 4,096 and, with CRESSPASS_LOG_LEVEL=debug, into the log; refusals have the module's reason, closes are counted by reason in the figures, and a violated invariant brings the request's story. Closing asks the guard: a connection with a request open is not closed as unused or for room.

--- a/cmd/cresspass/node.go
+++ b/cmd/cresspass/node.go
@@ -10,7 +10,8 @@
 )
 
 type nodeCmd struct {
-	Config string `short:"c" env:"ROUTER_CONFIG" help:"The platform's configuration, as JSON."`
+	Config   string `short:"c" env:"ROUTER_CONFIG" help:"The platform's configuration, as JSON."`
+	LogLevel string `env:"CRESSPASS_LOG_LEVEL" default:"info" help:"debug shows each event of each request."`
 }
 
 // Run serves the platform until SIGTERM.
@@ -19,7 +20,7 @@
 		return errors.New("node: ROUTER_CONFIG is not set, and no --config is given")
 	}
 	level := new(slog.LevelVar)
-	log, err := logger(os.Stdout, "info", "text", level)
+	log, err := logger(os.Stdout, c.LogLevel, "text", level)
 	if err != nil {
 		return fmt.Errorf("platform: %w", err)
 	}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -183,8 +183,8 @@
 	return f.Notice(n)
 }
 
-// See takes in what the starts in a notice tell of the wall clock, and nothing else. Where several notices are
-// at hand, all are seen before the first is taken.
+// See takes in what the starts in a notice tell of the wall clock, and nothing else. Where several notices
+// are at hand, all are seen before the first is taken.
 func (f *Follower) See(n Notice) {
 	if n.Pool == nil {
 		return
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -51,7 +51,8 @@
 // newFollower returns a Follower at 50 ms of its own and of Unix time.
 func newFollower() *Follower {
 	const now = 50 * time.Millisecond
-	return NewFollower(func() time.Duration { return now }, startclock.New(startclock.Late, time.UnixMilli(50), now))
+	clock := startclock.New(startclock.Late, time.UnixMilli(50), now)
+	return NewFollower(func() time.Duration { return now }, clock)
 }
 
 // FuzzBoard: whatever a notice board sends, reading it ends without a panic, and the last number never goes
--- a/internal/invariant/counter.go
+++ b/internal/invariant/counter.go
@@ -43,6 +43,11 @@
 	return false
 }
 
+// Story logs what is known of a request that a violation concerns.
+func (c *Counter) Story(request, story string) {
+	c.log.Error("story of a request", "request", request, "events", story)
+}
+
 // Violations returns how often each invariant was violated.
 func (c *Counter) Violations() map[Name]uint64 {
 	c.mu.Lock()
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -1,7 +1,7 @@
-// Package invariant re-checks the dispatcher's safety rules in the moment of an act. A decision is made earlier
-// than it is carried out: between the two lie a wait for a descriptor, a dial, a record on disk. Ledger is the
-// books of what has really happened, without I/O and without a clock, and every path asks it before it sends,
-// repeats, answers or closes; Counter counts what it did not let through.
+// Package invariant re-checks the dispatcher's safety rules in the moment of an act. A decision is made
+// earlier than it is carried out: between the two lie a wait for a descriptor, a dial, a record on disk.
+// Ledger is the books of what has really happened, without I/O and without a clock, and every path asks it
+// before it sends, repeats, answers or closes; Counter counts what it did not let through.
 package invariant
 
 import "fmt"
--- a/internal/invariant/ledger_test.go
+++ b/internal/invariant/ledger_test.go
@@ -129,8 +129,8 @@
 				further = append(further, now)
 				for _, edge := range []time.Duration{-budget.Slack + 1, 0, budget.Slack - 1} {
 					from := now.Add(-budget.LookBack + edge)
-					if got, allowed := count(further, from), budget.Free+budget.Share*count(taken, from); got >
-						allowed {
+					allowed := budget.Free + budget.Share*count(taken, from)
+					if got := count(further, from); got > allowed {
 						t.Fatalf("%v further attempts, %v allowed", got, allowed)
 					}
 				}
--- a/internal/platform/acts.go
+++ b/internal/platform/acts.go
@@ -6,6 +6,7 @@
 
 	"cresspass"
 	"cresspass/internal/computenode"
+	"cresspass/internal/eventlog"
 	"cresspass/internal/invariant"
 	"cresspass/internal/thriftfront"
 )
@@ -14,6 +15,7 @@
 // taken last of all.
 type acts struct {
 	counter *invariant.Counter
+	events  *eventlog.Log
 
 	mu     sync.Mutex
 	ledger *invariant.Ledger
@@ -23,12 +25,12 @@
 // further attempts.
 const budgetSlack = 4
 
-func newActs(cfg *cresspass.Config, counter *invariant.Counter) *acts {
+func newActs(cfg *cresspass.Config, counter *invariant.Counter, events *eventlog.Log) *acts {
 	r := &cfg.Rules
-	return &acts{counter: counter, ledger: invariant.NewLedger(invariant.Rules{Classes: cfg.Classes,
-		MayDuplicate: cfg.MayDuplicate,
-		Budget: invariant.Budget{On: r.HasBudget, Free: r.BudgetFree, Share: r.BudgetShare,
-			LookBack: r.BudgetLookBack, Slack: budgetSlack * max(cfg.Tick, time.Millisecond)}})}
+	budget := invariant.Budget{On: r.HasBudget, Free: r.BudgetFree, Share: r.BudgetShare,
+		LookBack: r.BudgetLookBack, Slack: budgetSlack * max(cfg.Tick, time.Millisecond)}
+	rules := invariant.Rules{Classes: cfg.Classes, MayDuplicate: cfg.MayDuplicate, Budget: budget}
+	return &acts{counter: counter, events: events, ledger: invariant.NewLedger(rules)}
 }
 
 // serve opens the books, or closes them.
@@ -38,12 +40,22 @@
 	g.ledger.Serve(on)
 }
 
+// judge counts a verdict on a request. It reports whether the act may be done; where it was never lawful, the
+// request's story goes to the log.
+func (g *acts) judge(v invariant.Verdict, request string) bool {
+	if v.Kind == invariant.Violated {
+		g.counter.Story(request, g.events.Story(request))
+	}
+	return g.counter.Count(v, request)
+}
+
 // take enters a request that came.
 func (g *acts) take(q *thriftfront.Request, key string) bool {
 	g.mu.Lock()
 	v := g.ledger.Take(time.Now(), invariant.Request{ID: q.ID, Class: q.Class, Key: key, Until: q.Until})
 	g.mu.Unlock()
-	return g.counter.Count(v, q.Ticket)
+	g.events.Add(eventlog.Event{What: eventlog.Taken, Request: q.Ticket, Attempt: -1, Why: q.Class})
+	return g.judge(v, q.Ticket)
 }
 
 // end enters a request's one end.
@@ -51,7 +63,7 @@
 	g.mu.Lock()
 	v := g.ledger.Answer(q.ID)
 	g.mu.Unlock()
-	g.counter.Count(v, q.Ticket)
+	g.judge(v, q.Ticket)
 }
 
 // begin asks whether an attempt may be written now, and says how it ends if not.
@@ -60,7 +72,7 @@
 	g.mu.Lock()
 	v := g.ledger.Begin(time.Now(), a.q.ID, a.number, at)
 	g.mu.Unlock()
-	if g.counter.Count(v, a.q.Ticket) {
+	if g.judge(v, a.q.Ticket) {
 		return 0, v
 	}
 	switch v.Name {
@@ -77,11 +89,11 @@
 	g.ledger.Done(a.q.ID, a.number, outcome.NeverRan())
 }
 
-// mayClose asks whether a connection on which so many requests are open may be closed by us.
-func (g *acts) mayClose(open int, detail string) bool {
-	var v invariant.Verdict
-	if open > 0 {
-		v = invariant.Verdict{Kind: invariant.Violated, Name: invariant.ClosedWithOpen, Detail: detail}
+// mayClose asks whether we may close a connection, by the requests that are open on it.
+func (g *acts) mayClose(open []*thriftfront.Request, why closeReason) bool {
+	if len(open) == 0 {
+		return true
 	}
-	return g.counter.Count(v, "")
+	return g.judge(invariant.Verdict{Kind: invariant.Violated, Name: invariant.ClosedWithOpen,
+		Detail: string(why)}, open[0].Ticket)
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -10,6 +10,7 @@
 
 	"cresspass"
 	"cresspass/internal/computenode"
+	"cresspass/internal/eventlog"
 	"cresspass/internal/nodehttp"
 	"cresspass/internal/thriftfront"
 )
@@ -153,6 +154,7 @@
 			}
 			return computenode.Event{Type: computenode.Unreached}, nil
 		}
+		a.s.events.Add(a.event(eventlog.Broken, err.Error()))
 		if step.Type != computenode.Delete {
 			a.s.broken.Add(1)
 			if errors.Is(err, nodehttp.ErrSpoilt) {
@@ -169,13 +171,49 @@
 // budget may have gone meanwhile.
 func (a *attempt) mayBegin() (computenode.EventType, bool) {
 	if a.s.front.get(a.q.ID) == nil {
+		a.s.events.Add(a.event(eventlog.Withheld, "its client has gone"))
 		return computenode.Unwanted, false
 	}
 	if !time.Now().Before(a.latest) {
+		a.s.events.Add(a.event(eventlog.Withheld, "its decision holds no longer"))
 		return computenode.Withheld, false
 	}
 	why, v := a.s.acts.begin(a)
-	return why, v.OK()
+	if !v.OK() {
+		a.s.events.Add(a.event(eventlog.Withheld, v.String()))
+		return why, false
+	}
+	a.s.events.Add(a.event(eventlog.Written, ""))
+	return 0, true
+}
+
+// event is an event of this attempt.
+func (a *attempt) event(what eventlog.What, why string) eventlog.Event {
+	return eventlog.Event{What: what, Request: a.q.Ticket, Attempt: a.number, Node: string(a.engine),
+		Why: why}
+}
+
+// outcomeText names an outcome in the event log.
+func outcomeText(o cresspass.Outcome) string {
+	switch o {
+	case cresspass.OK:
+		return "good"
+	case cresspass.Failed:
+		return "failed"
+	case cresspass.Full:
+		return "turned away"
+	case cresspass.Reset:
+		return "reset"
+	case cresspass.TimedOut:
+		return "no answer"
+	case cresspass.ConnectFailed:
+		return "no connection"
+	case cresspass.Moot:
+		return "moot"
+	case cresspass.Cancelled:
+		return "given up"
+	}
+	return strconv.Itoa(int(o))
 }
 
 // call makes a step's call.
--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -28,8 +28,8 @@
 	}
 }
 
-// TestOwnMachineFails: where a connection to a compute node fails by our own machine, for a moment, the compute
-// node is not blamed, and the query is served once the moment is over.
+// TestOwnMachineFails: where a connection to a compute node fails by our own machine, for a moment, the
+// compute node is not blamed, and the query is served once the moment is over.
 func TestOwnMachineFails(t *testing.T) {
 	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH,
 		syscall.ENFILE, syscall.EMFILE, syscall.ENOMEM} {
@@ -150,8 +150,8 @@
 	}
 }
 
-// TestTermAfterManyReloads: a signal to end is not lost behind many to reload, while one of them still waits for
-// its file.
+// TestTermAfterManyReloads: a signal to end is not lost behind many to reload, while one of them still
+// waits for its file.
 func TestTermAfterManyReloads(t *testing.T) {
 	r := newRig(t, 256)
 	all, stop := signals.Notify()
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -13,6 +14,7 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/eventlog"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
 )
@@ -35,6 +37,22 @@
 	roomTries   = 4                      // connections looked at to make room for one
 )
 
+// closeReason says why we close a client's connection.
+type closeReason string
+
+// The reasons.
+const (
+	closedRoom     closeReason = "room for another"
+	closedFull     closeReason = "no room"
+	closedUnused   closeReason = "shutdown, unused"
+	closedEnd      closeReason = "shutdown, last answers given"
+	closedIdle     closeReason = "silent for too long"
+	closedHalf     closeReason = "half a message for too long"
+	closedSpoilt   closeReason = "can't be read"
+	closedNoReader closeReason = "takes no answers"
+	closedByClient closeReason = "closed by the client"
+)
+
 // client is a connection of a client: the shell of what thriftfront.State knows of it.
 type client struct {
 	f     *front
@@ -61,14 +79,39 @@
 	state  *thriftfront.State
 	conns  map[thriftfront.ConnID]*client
 	last   thriftfront.ConnID
-	idle   time.Duration // of the connections to come
-	stall  time.Duration // of the connections to come
+	ended  map[closeReason]uint64 // connections
+	idle   time.Duration          // of the connections to come
+	stall  time.Duration          // of the connections to come
 }
 
 func newFront(s *service, ln *net.TCPListener, b *budget) *front {
 	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin,
 		state: thriftfront.New(&s.cfg.Module),
-		conns: map[thriftfront.ConnID]*client{}}
+		conns: map[thriftfront.ConnID]*client{}, ended: map[closeReason]uint64{}}
+}
+
+// close enters why a connection ends; f.mu is held.
+func (f *front) close(why closeReason) {
+	f.ended[why]++
+	what := eventlog.Closed
+	if why == closedByClient {
+		what = eventlog.Lost
+	}
+	f.s.events.Add(eventlog.Event{What: what, Attempt: -1, Why: string(why)})
+}
+
+// noReader enters a connection that ends because nothing more can be written to it.
+func (f *front) noReader() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.close(closedNoReader)
+}
+
+// closes tells how many connections ended for which reason.
+func (f *front) closes() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fmt.Sprint(f.ended)
 }
 
 // lastCall has what waits for accept be taken, and no more after that.
@@ -109,6 +152,9 @@
 		if f.size() >= f.budget.usual && !f.crowded(muteFor) && f.budget.full(f.s.pool.size()) &&
 			!f.crowded(pressing) {
 			f.s.shut.Add(1)
+			f.mu.Lock()
+			f.close(closedFull)
+			f.mu.Unlock()
 			c.Close()
 			continue
 		}
@@ -142,8 +188,12 @@
 			f.state.Begin(time.Now(), id)
 			continue
 		}
+		if !f.s.acts.mayClose(f.state.OpenOn(id), closedRoom) {
+			return false
+		}
 		f.forget(id)
 		f.s.shut.Add(1)
+		f.close(closedRoom)
 		c.net.Close()
 		return true
 	}
@@ -170,7 +220,12 @@
 // closeUnused is closeIdle; f.mu is held.
 func (f *front) closeUnused() {
 	for _, id := range f.state.Unused() {
-		if c := f.conns[id]; !c.unread() && f.state.Retire(id) {
+		c := f.conns[id]
+		if c.unread() || !f.state.Retire(id) {
+			continue
+		}
+		if f.s.acts.mayClose(f.state.OpenOn(id), closedUnused) {
+			f.close(closedUnused)
 			c.retire()
 		}
 	}
@@ -185,7 +240,7 @@
 	}
 	f.mu.Unlock()
 	for _, c := range conns {
-		c.spoilt("the dispatcher ends")
+		c.spoilt("the dispatcher ends", closedEnd)
 		c.retire()
 	}
 }
@@ -253,7 +308,7 @@
 			continue
 		case errors.Is(err, errFrame):
 			c.f.s.unread.Add(1)
-			c.spoilt("the connection can't be read")
+			c.spoilt("the connection can't be read", closedSpoilt)
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.overdue()
 		default: // its client has gone
@@ -348,16 +403,24 @@
 // overdue has the state judge a connection on which nothing more came in time. It reports whether it ends.
 func (c *client) overdue() bool {
 	c.f.mu.Lock()
+	why := closedIdle
+	if c.f.state.Partly(c.id) {
+		why = closedHalf
+	}
 	open, end := c.f.state.Overdue(c.id)
+	if end {
+		c.f.close(why)
+	}
 	c.f.mu.Unlock()
 	c.fault(open, "the request did not come whole in time")
 	return end
 }
 
 // spoilt ends a connection on which nothing further is read.
-func (c *client) spoilt(reason string) {
+func (c *client) spoilt(reason string, why closeReason) {
 	c.f.mu.Lock()
 	open := c.f.state.Spoilt(c.id)
+	c.f.close(why)
 	c.f.mu.Unlock()
 	c.fault(open, reason)
 }
@@ -367,7 +430,7 @@
 	var b []byte
 	for _, q := range open {
 		b = append(b, thriftfront.Fault(q.Seq, reason)...)
-		c.f.s.clientGone(q)
+		c.f.s.clientGone(q, reason)
 	}
 	if len(open) > 0 {
 		c.send(b, len(open))
@@ -420,12 +483,13 @@
 	c.f.mu.Unlock()
 	if v.Bad {
 		s.unread.Add(1)
+		s.events.Add(eventlog.Event{What: eventlog.Rejected, Request: v.Ticket, Attempt: -1, Why: v.Why})
 	}
 	if v.Say != nil {
 		c.send(v.Say, 1)
 	}
 	if v.Back != nil {
-		s.clientGone(v.Back)
+		s.clientGone(v.Back, "cancelled")
 	}
 	return !v.End
 }
@@ -438,6 +502,7 @@
 		c.ending = true
 		c.net.Close()
 		c.mu.Unlock()
+		c.f.noReader()
 		return
 	}
 	if !c.flushing && len(c.out) == 0 && c.raw != nil {
@@ -498,6 +563,7 @@
 			c.net.SetWriteDeadline(time.Now().Add(c.stall))
 			if _, err = c.net.Write(step); err != nil {
 				c.net.Close()
+				c.f.noReader()
 			}
 		}
 	}
@@ -506,16 +572,20 @@
 // over ends what is open on a connection that ended, and closes it.
 func (c *client) over() {
 	c.f.mu.Lock()
+	if c.f.state.PhaseOf(c.id) == thriftfront.Serving {
+		c.f.close(closedByClient)
+	}
 	open := c.f.forget(c.id)
 	c.f.mu.Unlock()
 	c.net.Close()
 	for _, q := range open {
-		c.f.s.clientGone(q)
+		c.f.s.clientGone(q, "its connection ended")
 	}
 }
 
 // answer writes a request's one answer. It returns false where the request has ended already.
-func (f *front) answer(id cresspass.QueryID, message func(seq int32) []byte) bool {
+func (f *front) answer(id cresspass.QueryID, what eventlog.What, why string,
+	message func(seq int32) []byte) bool {
 	f.mu.Lock()
 	q := f.state.Get(id)
 	to, ok := f.state.Answer(time.Now(), id)
@@ -523,6 +593,7 @@
 	f.mu.Unlock()
 	if ok {
 		f.s.acts.end(q)
+		f.s.events.Add(eventlog.Event{What: what, Request: q.Ticket, Attempt: -1, Why: why})
 		c.send(message(to.Seq), 1)
 	}
 	return ok
@@ -530,14 +601,18 @@
 
 // serve gives a request its result.
 func (f *front) serve(id cresspass.QueryID, pages [][]byte) bool {
-	return f.answer(id, func(seq int32) []byte {
+	return f.answer(id, eventlog.Answered, "", func(seq int32) []byte {
 		return thrift.AppendAnswer(nil, "dispatch", seq, true, pages...)
 	})
 }
 
 // replyError ends a request without a result; later is the come-back time of a refusal, 0: none.
-func (f *front) replyError(id cresspass.QueryID, which uint16, later time.Duration) {
-	f.answer(id, func(seq int32) []byte {
+func (f *front) replyError(id cresspass.QueryID, which uint16, later time.Duration, why cresspass.Reason) {
+	what := eventlog.Failed
+	if which == thrift.Shed {
+		what = eventlog.Refused
+	}
+	f.answer(id, what, string(why), func(seq int32) []byte {
 		var fields [][2]string
 		if later > 0 {
 			fields = append(fields, [2]string{"later", strconv.FormatInt(later.Milliseconds(), 10)})
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -20,6 +20,7 @@
 	"cresspass"
 	"cresspass/internal/discovery"
 	"cresspass/internal/dispatch"
+	"cresspass/internal/eventlog"
 	"cresspass/internal/invariant"
 	"cresspass/internal/signals"
 	"cresspass/internal/thrift"
@@ -37,6 +38,7 @@
 	sweepEvery   = 500 * time.Millisecond
 	reloadAgain  = 200 * time.Millisecond // before a configuration that can't be read is read again...
 	reloadTries  = 10                     // ...so often: it may be half written
+	eventsKept   = 4096                   // in memory, for the story of a request
 )
 
 // service is a running dispatcher on the platform.
@@ -45,6 +47,7 @@
 	path         string
 	log          *slog.Logger
 	system       *system
+	events       *eventlog.Log
 	clock        dispatch.Clock
 	loop         *dispatch.Loop
 	reportFields []string
@@ -91,7 +94,8 @@
 	s := &service{cfg: cfg, path: path, log: log, system: newSystem(), clock: dispatch.Monotonic(),
 		reportFields: cfg.Module.ReportFields, attempts: map[attemptKey]*attempt{},
 		outcomes: map[cresspass.Outcome]uint64{}}
-	s.acts = newActs(&cfg.Module, invariant.NewCounter(log))
+	s.events = eventlog.New(eventsKept, log)
+	s.acts = newActs(&cfg.Module, invariant.NewCounter(log), s.events)
 	core, err := dispatch.NewCore(cfg.Module, s.clock())
 	if err != nil {
 		return nil, err
@@ -162,6 +166,7 @@
 				continue
 			}
 			s.log.Info("leaving", "signal", sig.String())
+			s.changed("leaving")
 			s.front.mu.Lock()
 			s.front.state.Leave()
 			s.front.mu.Unlock()
@@ -176,6 +181,7 @@
 			last = time.After(max(longest+lastWords, newAfterTerm))
 			sweep.Reset(sweepEvery / 10)
 		case <-lastCall:
+			s.changed("takes no new connections")
 			s.front.lastCall()
 			lastCall = nil
 		case <-sweep.C:
@@ -188,6 +194,7 @@
 				}
 			}
 		case <-last:
+			s.changed("answers what is left")
 			s.front.finish()
 		case <-look.C:
 			s.look()
@@ -207,6 +214,7 @@
 		return false
 	}
 	s.log.Info("configuration read again", "board", cfg.Board)
+	s.changed("configuration read again, discovery at " + cfg.Board)
 	s.watch.move(cfg.Board)
 	now, then := cfg.Module, s.cfg.Module
 	now.Seed = then.Seed // new in each file
@@ -216,6 +224,11 @@
 	return true
 }
 
+// changed enters a change of the dispatcher's own state.
+func (s *service) changed(what string) {
+	s.events.Add(eventlog.Event{What: eventlog.Changed, Attempt: -1, Why: what})
+}
+
 // look writes figures to the log.
 func (s *service) look() {
 	st := s.stats()
@@ -232,7 +245,7 @@
 		"longest", longest,
 		"spoilt", s.spoilt.Load(), "broken", s.broken.Load(), "unread", s.unread.Load(),
 		"shut", s.shut.Load(), "lag", s.loop.Lag(),
-		"violations", invariant.Text(s.acts.counter.Violations()),
+		"closed", s.front.closes(), "violations", invariant.Text(s.acts.counter.Violations()),
 		"withheld", invariant.Text(s.acts.counter.Withheld()),
 		"board", s.watch.asked.Load(), "goroutines", runtime.NumGoroutine(), "heap", heapBytes())
 }
@@ -266,14 +279,16 @@
 }
 
 // clientGone ends a request for which nobody waits.
-func (s *service) clientGone(q *thriftfront.Request) {
+func (s *service) clientGone(q *thriftfront.Request, why string) {
 	s.acts.end(q)
+	s.events.Add(eventlog.Event{What: eventlog.Gone, Request: q.Ticket, Attempt: -1, Why: why})
 	s.loop.Post(cresspass.Event{Type: cresspass.ClientGone, Query: q.ID, Outcome: cresspass.Cancelled})
 }
 
 // ended takes an attempt out of the books.
 func (s *service) ended(a *attempt, o cresspass.Outcome) {
 	s.acts.done(a, o)
+	s.events.Add(a.event(eventlog.Ended, outcomeText(o)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.outcomes[o]++
@@ -290,12 +305,13 @@
 		a := s.attempts[attemptKey{o.Query, o.Attempt}]
 		s.mu.Unlock()
 		if a != nil {
+			s.events.Add(a.event(eventlog.Stopped, outcomeText(o.Outcome)))
 			a.stop(o.Outcome)
 		}
 	case dispatch.Refuse:
-		s.front.replyError(o.Query, thrift.Shed, o.Wait)
+		s.front.replyError(o.Query, thrift.Shed, o.Wait, o.Reason)
 	case dispatch.Fail:
-		s.front.replyError(o.Query, thrift.Fault, 0)
+		s.front.replyError(o.Query, thrift.Fault, 0, o.Reason)
 	case dispatch.Probe:
 		if addr := s.watch.addr(o.Engine); addr != "" {
 			go s.probe(o.Engine, addr)
@@ -331,6 +347,7 @@
 	if o.Priority >= 0 {
 		a.rank = strconv.Itoa(o.Priority)
 	}
+	s.events.Add(a.event(eventlog.Decided, ""))
 	a.ctx, a.cancel = context.WithCancel(context.Background()) // the module stops it in time
 	s.mu.Lock()
 	s.attempts[attemptKey{o.Query, o.Attempt}] = a
--- a/internal/platform/stale_test.go
+++ b/internal/platform/stale_test.go
@@ -28,8 +28,8 @@
 	return r
 }
 
-// TestBudgetWhenBegun: a further attempt that was within the budget when it was decided on, and then waits for
-// a descriptor until the requests that allowed it have left the window, is not begun.
+// TestBudgetWhenBegun: a further attempt that was within the budget when it was decided on, and then waits
+// for a descriptor until the requests that allowed it have left the window, is not begun.
 func TestBudgetWhenBegun(t *testing.T) {
 	r := newRigWith(t, 256, `"grace-to-answer-us":5000`,
 		`"grace-to-answer-us":5000,"free-resends":0,"further-ratio":1,"look-back-us":60000`)
@@ -63,8 +63,8 @@
 	}
 }
 
-// TestStartToldAgain: a compute node whose start is told again, in another list, has the same start; as a later
-// one it would be taken for a new process, of which nothing is known.
+// TestStartToldAgain: a compute node whose start is told again, in another list, has the same start; as a
+// later one it would be taken for a new process, of which nothing is known.
 func TestStartToldAgain(t *testing.T) {
 	r := newRig(t, 256)
 	w := newWatcher(r.service, "")
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -174,9 +174,9 @@
 	return ctx, w.at
 }
 
-// watch asks at one address until the context ends. Danger: a discovery that is slow answers late, one that is
-// cut off never, and the two look alike. So a call that is overdue is kept as the elder, and others are made
-// beside it, one at a time.
+// watch asks at one address until the context ends. Danger: a discovery that is slow answers late, one
+// that is cut off never, and the two look alike. So a call that is overdue is kept as the elder, and
+// others are made beside it, one at a time.
 func (w *watcher) watch(ctx context.Context, at string) {
 	var elder *opening
 	defer func() { elder.drop() }()
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -100,7 +100,8 @@
 	if again := l.Infos(now+time.Second, clock); again[0].Started != infos[0].Started {
 		t.Errorf("told again: %v, then %v", infos[0].Started, again[0].Started)
 	}
-	if ahead := l.Infos(now, startclock.New(startclock.Every, started.Add(-time.Hour), now)); ahead[0].Started != now {
+	clock = startclock.New(startclock.Every, started.Add(-time.Hour), now)
+	if ahead := l.Infos(now, clock); ahead[0].Started != now {
 		t.Errorf("a start in the future counts as %v, want now", ahead[0].Started)
 	}
 }
--- a/internal/startclock/startclock.go
+++ b/internal/startclock/startclock.go
@@ -12,11 +12,11 @@
 // Clock converts starts. It is for one goroutine at a time.
 //
 // The wall clock is read once, when the Clock is made; from then on only monotonic time counts, so a step
-// changes nothing. A clock that was wrong already at that moment shows in the ages that it gives: no node can
-// be told before it started, so the least age ever seen bounds the error from above. Taking that bound for the
-// error makes a node look younger than it is by the time that the quickest news took, never older. That holds
-// where only late starts are told (Late); where each node's start is told, however long ago, the least age may
-// be a year, and only a start that lies ahead shows an error.
+// changes nothing. A clock that was wrong already at that moment shows in the ages that it gives: no node
+// can be told before it started, so the least age ever seen bounds the error from above. Taking that bound
+// for the error makes a node look younger than it is by the time that the quickest news took, never older.
+// That holds where only late starts are told (Late); where each node's start is told, however long ago,
+// the least age may be a year, and only a start that lies ahead shows an error.
 type Clock struct {
 	zero   time.Time     // wall clock...
 	at     time.Duration // ...at this monotonic time
@@ -35,8 +35,8 @@
 	Every               // of every node
 )
 
-// aheadMost is how far ahead of the wall clock a start may lie to tell anything of that clock. What lies further
-// ahead is no start that a clock could show, and counts as now.
+// aheadMost is how far ahead of the wall clock a start may lie to tell anything of that clock. What lies
+// further ahead is no start that a clock could show, and counts as now.
 const aheadMost = 24 * time.Hour
 
 // start is a converted start. It is kept, so that what is told again is not converted again.
--- a/internal/state/fault_test.go
+++ b/internal/state/fault_test.go
@@ -45,8 +45,8 @@
 	return f.File.Truncate(size)
 }
 
-// TestAcknowledgedSurvives: whatever calls of the disk fail between, a record whose append was acknowledged is
-// read after a restart.
+// TestAcknowledgedSurvives: whatever calls of the disk fail between, a record whose append was
+// acknowledged is read after a restart.
 func TestAcknowledgedSurvives(t *testing.T) {
 	var none error
 	for name, disk := range map[string]faulty{
@@ -54,7 +54,8 @@
 			writes: []error{none, none, none, syscall.ENOSPC}},
 		"a write fails, and its truncate": {writes: []error{none, syscall.ENOSPC},
 			truncates: []error{syscall.EIO}},
-		"a write and its sync fail": {writes: []error{none, syscall.ENOSPC}, syncs: []error{none, syscall.EIO}},
+		"a write and its sync fail": {writes: []error{none, syscall.ENOSPC},
+			syncs: []error{none, syscall.EIO}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			dir := t.TempDir()
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// Store keeps a book in a folder. Put never blocks: a goroutine writes, in batches. What the disk does not take
-// is written again until it does; what does not fit the queue is dropped and counted.
+// Store keeps a book in a folder. Put never blocks: a goroutine writes, in batches. What the disk does not
+// take is written again until it does; what does not fit the queue is dropped and counted.
 type Store struct {
 	log     *Log
 	book    *Book
@@ -33,8 +33,8 @@
 	durable chan struct{} // closed once it is; nil: nobody waits
 }
 
-// queueMost is how many records may wait to be taken by the writer, pendingMost how many the writer keeps while
-// the disk fails.
+// queueMost is how many records may wait to be taken by the writer, pendingMost how many the writer keeps
+// while the disk fails.
 const (
 	queueMost   = 1 << 16
 	pendingMost = 1 << 14
@@ -78,7 +78,8 @@
 // Put has a record written. It returns false where it was dropped.
 func (s *Store) Put(r Record) bool { return s.put(entry{record: r}) }
 
-// PutDurable has a record written, and returns a channel that is closed once it is durable; nil: it was dropped.
+// PutDurable has a record written, and returns a channel that is closed once it is durable; nil: it was
+// dropped.
 func (s *Store) PutDurable(r Record) <-chan struct{} {
 	e := entry{r, make(chan struct{})}
 	if !s.put(e) {
--- a/internal/thriftfront/front.go
+++ b/internal/thriftfront/front.go
@@ -39,7 +39,9 @@
 	Back  *Request        // its client waits for it no longer
 	Say   []byte          // to be written at once
 	Bad   bool            // the request itself was at fault; Say tells why
-	End   bool            // nothing further on this connection can be read
+	// with Bad: the request's id, and what was wrong
+	Ticket, Why string
+	End         bool // nothing further on this connection can be read
 }
 
 type conn struct {
@@ -142,7 +144,7 @@
 	case "dispatch":
 		v.Taken, v.Event, err = b.admit(now, id, c, &m)
 		if err != nil {
-			v = Verdict{Bad: true, Say: Fault(r.Seq, err.Error())}
+			v = Verdict{Bad: true, Say: Fault(r.Seq, err.Error()), Ticket: m.terms.Ticket, Why: err.Error()}
 		}
 	case "cancelRequest":
 		if v.Back = c.open[r.Number]; v.Back != nil {
@@ -261,6 +263,43 @@
 	return open
 }
 
+// OpenOn returns the requests that have no answer on a connection yet.
+func (b *State) OpenOn(id ConnID) (open []*Request) {
+	if c := b.conns[id]; c != nil {
+		for _, q := range c.open {
+			open = append(open, q)
+		}
+	}
+	return open
+}
+
+// Partly reports whether a message has begun to come on a connection, and not ended.
+func (b *State) Partly(id ConnID) bool {
+	c := b.conns[id]
+	return c != nil && c.partly
+}
+
+// Phase says how far a connection is.
+type Phase int
+
+// The phases.
+const (
+	Serving Phase = iota
+	Ended         // nothing further that comes on it is taken
+	Forgotten
+)
+
+// PhaseOf returns a connection's phase.
+func (b *State) PhaseOf(id ConnID) Phase {
+	switch c := b.conns[id]; {
+	case c == nil:
+		return Forgotten
+	case c.ending:
+		return Ended
+	}
+	return Serving
+}
+
 func (b *State) endAll(c *conn) (open []*Request) {
 	for _, q := range c.open {
 		open = append(open, q)
