--- /dev/null
+++ b/cmd/cresspass/soak.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cresspass/internal/soak"
+)
+
+type soakCmd struct {
+	Seed        uint64        `default:"1" help:"Seed of the first plan."`
+	Seeds       int           `default:"1" help:"Number of plans, one after another."`
+	For         time.Duration `default:"60s" help:"Length of each."`
+	Dispatchers int           `default:"10" help:"Processes, 2 to 40."`
+	Program     string        `help:"The dispatchers' program; this one, if none is named."`
+	Faults      bool          `help:"The program was built with the tag faults: clocks step and calls fail."`
+	Mutant      string        `help:"A guard to take out of that program, to see that it is missed."`
+	Keep        string        `help:"Folder for logs; else they go with the run."`
+	Plan        bool          `help:"Print the plans and play none."`
+}
+
+var errSoak = errors.New("soak: rules were broken")
+
+// Run plays plans of faults through real dispatchers; the error is for broken rules.
+func (c soakCmd) Run(ctx context.Context) error {
+	if c.Dispatchers < 2 || c.Dispatchers > 40 {
+		return fmt.Errorf("soak: %d dispatchers, want 2 to 40", c.Dispatchers)
+	}
+	program := c.Program
+	if program == "" {
+		var err error
+		if program, err = os.Executable(); err != nil {
+			return err
+		}
+	}
+	program, err := filepath.Abs(program)
+	if err != nil {
+		return err
+	}
+	broken := 0
+	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
+		plan := soak.NewPlan(soak.Options{Seed: seed, For: c.For, Dispatchers: c.Dispatchers, Faults: c.Faults})
+		if c.Plan {
+			fmt.Print(plan)
+			continue
+		}
+		report, err := c.play(ctx, plan, program)
+		if err != nil {
+			return err
+		}
+		report.Write(os.Stdout)
+		if report.Broken() {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return fmt.Errorf("%w: %d of %d seeds", errSoak, broken, c.Seeds)
+	}
+	return nil
+}
+
+func (c soakCmd) play(ctx context.Context, plan *soak.Plan, program string) (*soak.Report, error) {
+	dir := c.Keep
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "soak"); err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+	} else {
+		dir = filepath.Join(dir, fmt.Sprint(plan.Seed))
+	}
+	return soak.Run(ctx, soak.Config{Plan: plan, Program: program, Dir: dir, Mutant: c.Mutant})
+}
--- /dev/null
+++ b/internal/soak/board.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// server is a compute node on the list.
+type server struct {
+	ID      string  `json:"id"`
+	Addr    string  `json:"addr"`
+	Zone    string  `json:"zone"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`
+	Weight  float64 `json:"weight"`
+	Started int64   `json:"started_ms"`
+}
+
+type pool struct {
+	Version int      `json:"version"`
+	Full    bool     `json:"full"`
+	Servers []server `json:"servers"`
+}
+
+type notice struct {
+	Rev  int   `json:"rev"`
+	Pool *pool `json:"pool"`
+}
+
+// board stands in for discovery, as one dispatcher sees it: events numbered from its start, told at one of two
+// addresses.
+type board struct {
+	mu      sync.Mutex
+	events  []notice
+	current int // the address that tells
+	moved   time.Time
+	down    bool
+	mute    bool
+	slow    bool
+	torn    bool
+	trouble time.Time // its last trouble ended
+	lns     [2]net.Listener
+	servers [2]*http.Server
+	ended   sync.WaitGroup
+	added   chan struct{} // closed when an event comes
+}
+
+// slowAnswer is how long a slow discovery takes for each answer, oldTells how long an address that was left
+// keeps its streams.
+const (
+	slowAnswer = 2200 * time.Millisecond
+	oldTells   = 1500 * time.Millisecond
+)
+
+func newBoard() (*board, error) {
+	b := &board{added: make(chan struct{})}
+	for i := range b.lns {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		b.lns[i] = ln
+		b.servers[i] = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			b.serve(i, w, q)
+		})}
+		b.ended.Go(func() { b.servers[i].Serve(ln) })
+	}
+	return b, nil
+}
+
+// addr is where it tells now.
+func (b *board) addr() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lns[b.current].Addr().String()
+}
+
+// restart numbers events anew, with a whole list first.
+func (b *board) restart(all []server) []notice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.events = []notice{{1, &pool{1, true, all}}}
+	return b.events
+}
+
+// tell adds an event.
+func (b *board) tell(changed ...server) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.events) == 0 {
+		return
+	}
+	b.events = append(b.events, notice{len(b.events) + 1, &pool{len(b.events) + 1, false, changed}})
+	close(b.added)
+	b.added = make(chan struct{})
+}
+
+// move has the other address tell.
+func (b *board) move() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.current, b.moved = 1-b.current, time.Now()
+	close(b.added)
+	b.added = make(chan struct{})
+}
+
+// set changes how it behaves.
+func (b *board) set(change func(b *board)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	change(b)
+	b.trouble = time.Now()
+	close(b.added)
+	b.added = make(chan struct{})
+}
+
+// inTrouble reports whether it was not itself at any moment since a time.
+func (b *board) inTrouble(since time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.down || b.mute || b.slow || b.torn || b.trouble.After(since) || b.moved.After(since)
+}
+
+// hangUp ends a call without a word.
+func hangUp(w http.ResponseWriter) {
+	if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
+		reset(c)
+	}
+}
+
+func (b *board) serve(address int, w http.ResponseWriter, q *http.Request) {
+	b.mu.Lock()
+	down, slow, left := b.down, b.slow, address != b.current
+	b.mu.Unlock()
+	if down || left {
+		hangUp(w)
+		return
+	}
+	if slow {
+		select {
+		case <-time.After(slowAnswer):
+		case <-q.Context().Done():
+			return
+		}
+	}
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-ID"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	flush := w.(http.Flusher).Flush
+	flush()
+	comment := time.NewTicker(time.Second)
+	defer comment.Stop()
+	for q.Context().Err() == nil {
+		b.mu.Lock()
+		events, added, torn := b.events, b.added, b.torn
+		down, mute, left := b.down, b.mute, address != b.current && time.Since(b.moved) > oldTells
+		tells := address == b.current
+		b.mu.Unlock()
+		if down || left {
+			hangUp(w)
+			return
+		}
+		for ; tells && !mute && from < len(events); from++ {
+			data, _ := json.Marshal(events[from])
+			text := fmt.Sprintf("id: %d\ndata: %s\n\n", from+1, data)
+			if torn {
+				io.WriteString(w, text[:len(text)/2])
+				flush()
+				hangUp(w)
+				return
+			}
+			io.WriteString(w, text)
+			flush()
+		}
+		select {
+		case <-added:
+		case <-comment.C:
+			if !mute && tells {
+				io.WriteString(w, ": here\n\n")
+				flush()
+			}
+		case <-time.After(100 * time.Millisecond):
+		case <-q.Context().Done():
+		}
+	}
+}
+
+func (b *board) close() {
+	for _, s := range b.servers {
+		s.Close()
+	}
+	b.ended.Wait()
+}
--- /dev/null
+++ b/internal/soak/client.go
@@ -0,0 +1,314 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Of the clients.
+const (
+	connsMost    = 6                     // of a dispatcher's clients
+	openMost     = 8                     // requests on a connection
+	crossing     = 50 * time.Millisecond // a request that crosses a close is sent again, once
+	cancelShare  = 0.05
+	leaveShare   = 0.02
+	shortShare   = 0.05 // requests with very little time
+	freshShare   = 0.2  // requests on a new connection
+	keysOfClient = 3
+	frameMost    = 1 << 20
+)
+
+// clientConn is a client's connection.
+type clientConn struct {
+	d      *dispatcher
+	net    net.Conn
+	mu     sync.Mutex
+	next   int32
+	open   map[int32]string // tickets
+	sent   map[string]time.Time
+	closed bool
+}
+
+// sender gives a dispatcher its requests while it takes any.
+type sender struct {
+	d      *dispatcher
+	random *rand.Rand
+	conns  []*clientConn
+}
+
+// run sends requests at a rate until stop is closed.
+func (s *sender) run(rate float64, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(s.random.ExpFloat64() / rate * float64(time.Second))):
+		}
+		s.ask()
+	}
+}
+
+// ask sends a request of a class drawn by its share.
+func (s *sender) ask() {
+	c := s.conn()
+	if c == nil {
+		return
+	}
+	class, share := classes[0], s.random.Float64()
+	for _, class = range classes {
+		if share -= class.share; share < 0 {
+			break
+		}
+	}
+	limit := 1200*time.Millisecond + time.Duration(s.random.IntN(2000))*time.Millisecond
+	if s.random.Float64() < shortShare {
+		limit = time.Duration(10+s.random.IntN(80)) * time.Millisecond
+	}
+	r := request{ticket: fmt.Sprintf("%016x", s.random.Uint64()), class: class, limit: limit}
+	if class.inOrder {
+		r.key = fmt.Sprintf("d%d-k%d", s.d.index, s.random.IntN(keysOfClient))
+	}
+	if class.effect == keyed {
+		r.nonce = fmt.Sprintf("%016x%016x", s.random.Uint64(), s.random.Uint64())
+	}
+	if !c.send(r) {
+		return
+	}
+	switch x := s.random.Float64(); {
+	case x < cancelShare:
+		wait := time.Duration(s.random.IntN(300)) * time.Millisecond
+		time.AfterFunc(wait, func() { c.cancel(r.ticket) })
+	case x < cancelShare+leaveShare:
+		wait := time.Duration(s.random.IntN(300)) * time.Millisecond
+		hard := s.random.IntN(2) == 0
+		time.AfterFunc(wait, func() { c.leave(hard) })
+	}
+}
+
+// conn returns a connection with room for a request: one that stands or a new one.
+func (s *sender) conn() *clientConn {
+	if !s.d.takes() {
+		return nil
+	}
+	var standing []*clientConn
+	for _, c := range s.conns {
+		if c.alive() {
+			standing = append(standing, c)
+		}
+	}
+	s.conns = standing
+	if len(standing) > 0 && (len(standing) >= connsMost || s.random.Float64() > freshShare) {
+		if c := standing[s.random.IntN(len(standing))]; c.room() {
+			return c
+		}
+	}
+	if !s.d.takesNew() {
+		return nil
+	}
+	c := s.d.connect()
+	if c != nil {
+		s.conns = append(s.conns, c)
+	}
+	return c
+}
+
+// request is what a client asks.
+type request struct {
+	ticket, key, nonce string
+	class              class
+	limit              time.Duration
+	again              bool // it crossed a close before
+}
+
+// connect opens a connection to the dispatcher; nil: it takes none.
+func (d *dispatcher) connect() *clientConn {
+	n, err := net.DialTimeout("tcp", d.clients.addr(), time.Second)
+	if err != nil {
+		return nil
+	}
+	c := &clientConn{d: d, net: n, open: map[int32]string{}, sent: map[string]time.Time{}}
+	d.track(c, true)
+	go c.read()
+	return c
+}
+
+func (c *clientConn) alive() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed
+}
+
+func (c *clientConn) room() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closed && len(c.open) < openMost
+}
+
+// send writes a request. It returns false where it could not be written whole.
+func (c *clientConn) send(r request) bool {
+	fields := map[string]string{"txn": r.ticket, "verb": r.class.name, "heap_mb": "32",
+		"limit": fmt.Sprint(r.limit.Milliseconds()),
+		"cpu":   fmt.Sprintf("%.1f", float64(r.class.work)/float64(time.Millisecond))}
+	if r.key != "" {
+		fields["item"] = r.key
+	}
+	if r.nonce != "" {
+		fields["unique"] = r.nonce
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return false
+	}
+	c.next++
+	seq := c.next
+	c.open[seq] = r.ticket
+	// What is seen of it may come before Write returns.
+	life := c.d.currentLife()
+	c.d.fleet.oracle.change(r.ticket, func(a *asked) {
+		a.class, a.key, a.dispatcher, a.life, a.limit = r.class.name, r.key, c.d.index, life, r.limit
+		a.sent = time.Now()
+	})
+	c.d.remember(r)
+	_, err := c.net.Write(dispatchMessage(seq, fields, "SELECT 1 FROM sales_3.orders"))
+	c.sent[r.ticket] = time.Now()
+	c.d.fleet.oracle.change(r.ticket, func(a *asked) {
+		if a.sent = time.Now(); err != nil {
+			a.excused = "it could not be written"
+		}
+	})
+	return err == nil
+}
+
+// cancel takes a request back, if it is open.
+func (c *clientConn) cancel(ticket string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for seq, open := range c.open {
+		if open != ticket || c.closed {
+			continue
+		}
+		c.next++
+		c.net.Write(cancelMessage(c.next, seq))
+		c.gone(ticket)
+		delete(c.open, seq)
+	}
+}
+
+// leave closes the connection with whatever is open on it.
+func (c *clientConn) leave(hard bool) {
+	c.mu.Lock()
+	if c.closed {
+		c.mu.Unlock()
+		return
+	}
+	c.closed = true
+	for _, ticket := range c.open {
+		c.gone(ticket)
+	}
+	clear(c.open)
+	c.mu.Unlock()
+	if hard {
+		reset(c.net)
+	}
+	c.net.Close()
+}
+
+// gone enters that the client waits no longer; the link may hold that back.
+func (c *clientConn) gone(ticket string) {
+	at := time.Now().Add(c.d.linkDelay())
+	c.d.fleet.oracle.change(ticket, func(a *asked) {
+		if a.gone.IsZero() {
+			a.gone = at
+		}
+	})
+}
+
+// read takes answers until the connection ends.
+func (c *clientConn) read() {
+	defer c.d.track(c, false)
+	in := bufio.NewReader(c.net)
+	for {
+		var head [4]byte
+		if _, err := io.ReadFull(in, head[:]); err != nil {
+			c.over()
+			return
+		}
+		n := binary.BigEndian.Uint32(head[:])
+		frame := make([]byte, min(n, frameMost))
+		if _, err := io.ReadFull(in, frame); err != nil {
+			c.over()
+			return
+		}
+		a, err := parseAnswer(frame)
+		if err != nil {
+			c.d.fleet.oracle.found("unreadable_answer", "", "%x", frame)
+			c.leave(true)
+			return
+		}
+		c.answer(a)
+	}
+}
+
+func (c *clientConn) answer(a answer) {
+	if a.method == "alive" {
+		c.d.answeredAlive(a.good)
+		return
+	}
+	c.mu.Lock()
+	ticket, ok := c.open[a.seq]
+	delete(c.open, a.seq)
+	c.mu.Unlock()
+	if !ok {
+		return // taken back
+	}
+	c.d.fleet.oracle.change(ticket, func(r *asked) {
+		r.answers = append(r.answers, heard{a.kind, a.body, time.Now()})
+	})
+}
+
+// over ends a connection that the dispatcher closed. A request that crossed the close is sent again, once, on a
+// new connection.
+func (c *clientConn) over() {
+	now := time.Now()
+	c.mu.Lock()
+	left := c.closed
+	c.closed = true
+	resting := true // nothing but what crossed was open
+	for _, ticket := range c.open {
+		resting = resting && now.Sub(c.sent[ticket]) <= crossing+c.d.linkDelay()
+	}
+	open := make([]string, 0, len(c.open))
+	for _, ticket := range c.open {
+		open = append(open, ticket)
+	}
+	c.mu.Unlock()
+	c.net.Close()
+	if left {
+		return
+	}
+	for _, ticket := range open {
+		r, ok := c.d.recall(ticket)
+		if resting && ok && !r.again && c.d.takes() {
+			if other := c.d.connect(); other != nil {
+				r.again = true
+				if other.send(r) {
+					continue
+				}
+			}
+		}
+		crossed := resting && !c.d.takes()
+		c.d.fleet.oracle.change(ticket, func(a *asked) {
+			a.ended = now
+			if crossed && a.excused == "" {
+				a.excused = "it crossed the close of a dispatcher that ends"
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,480 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Config says how a plan is played.
+type Config struct {
+	Plan    *Plan
+	Program string // the dispatchers' program
+	Dir     string // for configurations and logs; each run wants one of its own
+	Mutant  string // a guard that is taken out of the dispatchers, to prove the judge; "": none
+}
+
+// Report is what a run found.
+type Report struct {
+	Plan       *Plan
+	Findings   []Finding
+	Violations []string // logged by the dispatchers themselves
+	Counts     map[string]int
+	stories    map[string][]string
+}
+
+// Broken reports whether any rule was.
+func (r *Report) Broken() bool { return len(r.Findings) > 0 || len(r.Violations) > 0 }
+
+// storiesMost bounds the requests whose story is written.
+const storiesMost = 5
+
+// Write writes the report: the plan and stories where a rule was broken.
+func (r *Report) Write(w io.Writer) {
+	fmt.Fprintf(w, "seed %d: %d findings, %d violations logged, %v\n", r.Plan.Seed, len(r.Findings), len(r.Violations),
+		r.Counts)
+	if !r.Broken() {
+		return
+	}
+	for _, f := range r.Findings {
+		fmt.Fprintln(w, " ", f)
+	}
+	for _, v := range r.Violations {
+		fmt.Fprintln(w, " ", v)
+	}
+	fmt.Fprint(w, r.Plan)
+	for _, lines := range r.stories {
+		for _, line := range lines {
+			fmt.Fprintln(w, " ", line)
+		}
+	}
+}
+
+// fleet is the dispatchers and all that they talk to.
+type fleet struct {
+	plan        *Plan
+	program     string
+	mutant      string
+	dir         string
+	oracle      *oracle
+	nodes       []*computeNode
+	dispatchers []*dispatcher
+
+	mu      sync.Mutex
+	servers []server // the list, by node; addresses are each dispatcher's own
+	ending  bool
+	work    sync.WaitGroup
+}
+
+// settleFor is how long after the last request the run goes on, so that each has its answer.
+const settleFor = 5 * time.Second
+
+// Run plays a plan.
+func Run(ctx context.Context, c Config) (*Report, error) {
+	f := &fleet{plan: c.Plan, program: c.Program, mutant: c.Mutant, dir: c.Dir, oracle: newOracle(c.Plan.Budget)}
+	stop := make(chan struct{})
+	for i := range c.Plan.Nodes {
+		n, err := newComputeNode(i, f.oracle, c.Plan.Seed)
+		if err != nil {
+			return nil, err
+		}
+		f.nodes = append(f.nodes, n)
+		f.servers = append(f.servers, server{ID: n.id(), Zone: "z", Kind: "k", State: "up", Weight: 1})
+		f.work.Go(func() { n.sweep(stop) })
+	}
+	for i := range c.Plan.Dispatchers {
+		d, err := newDispatcher(i, f)
+		if err != nil {
+			return nil, err
+		}
+		f.dispatchers = append(f.dispatchers, d)
+	}
+	var ready sync.WaitGroup
+	for _, d := range f.dispatchers {
+		ready.Go(d.start)
+	}
+	ready.Wait()
+	f.oracle.mu.Lock()
+	f.oracle.zero = time.Now()
+	f.oracle.mu.Unlock()
+	sending := make(chan struct{})
+	for _, d := range f.dispatchers {
+		s := &sender{d: d, random: rand.New(rand.NewPCG(c.Plan.Seed, uint64(d.index)+1))}
+		f.work.Go(func() { s.run(c.Plan.Rate, sending) })
+	}
+	f.play(ctx)
+	close(sending)
+	time.Sleep(settleFor)
+	f.mu.Lock()
+	f.ending = true
+	f.mu.Unlock()
+	for _, d := range f.dispatchers {
+		ready.Go(func() { d.terminate(true) })
+	}
+	ready.Wait()
+	close(stop)
+	f.work.Wait()
+	report := f.report()
+	f.close()
+	return report, nil
+}
+
+// close ends what is left of processes and stand-ins.
+func (f *fleet) close() {
+	for _, d := range f.dispatchers {
+		d.mu.Lock()
+		if d.process != nil && d.process.ProcessState == nil {
+			d.process.Process.Kill()
+		}
+		d.mu.Unlock()
+		d.close()
+	}
+	for _, n := range f.nodes {
+		n.server.Close()
+		n.ended.Wait()
+	}
+}
+
+// report judges.
+func (f *fleet) report() *Report {
+	r := &Report{Plan: f.plan, Findings: f.oracle.judge(), Counts: f.oracle.counts(), stories: map[string][]string{}}
+	for _, d := range f.dispatchers {
+		for _, v := range d.violations() {
+			r.Violations = append(r.Violations, fmt.Sprintf("dispatcher %d: %s", d.index, v))
+		}
+	}
+	for _, finding := range r.Findings {
+		if finding.Ticket == "" || len(r.stories) >= storiesMost {
+			continue
+		}
+		lines := f.oracle.story(finding.Ticket)
+		for _, d := range f.dispatchers {
+			lines = append(lines, d.logOf(finding.Ticket)...)
+		}
+		r.stories[finding.Ticket] = lines
+	}
+	return r
+}
+
+func (f *fleet) closing() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ending
+}
+
+func (f *fleet) list() []server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]server(nil), f.servers...)
+}
+
+// tell changes a compute node's entry and tells all dispatchers.
+func (f *fleet) tell(node int, change func(s *server)) {
+	f.mu.Lock()
+	was := f.servers[node]
+	change(&f.servers[node])
+	now := f.servers[node]
+	f.mu.Unlock()
+	for _, d := range f.dispatchers {
+		mine := now
+		mine.Addr = d.nodes[node].addr()
+		if was.ID != now.ID {
+			gone := was
+			gone.State, gone.Addr = "removed", mine.Addr
+			d.board.tell(gone, mine)
+		} else {
+			d.board.tell(mine)
+		}
+		if now.State == "draining" {
+			f.drained(d, now.ID)
+		}
+	}
+}
+
+// drained enters when a dispatcher counts as told of a drain: at once, or some time after the trouble that its
+// discovery is in.
+func (f *fleet) drained(d *dispatcher, generation string) {
+	told, life := time.Now(), d.currentLife()
+	if !d.board.inTrouble(told.Add(-troubleTold)) {
+		f.oracle.drained(d.index, life, generation, told)
+		return
+	}
+	f.work.Go(func() {
+		for d.board.inTrouble(time.Now().Add(-troubleTold)) && !f.closing() {
+			time.Sleep(20 * time.Millisecond)
+		}
+		f.oracle.drained(d.index, life, generation, time.Now())
+	})
+}
+
+// settings are those of the platform, by its names.
+func (f *fleet) settings() map[string]any {
+	effects := map[effect]string{safe: "safe", keyed: "keyed", unsafe: "unsafe"}
+	var list []map[string]any
+	threads, loads := []float64{}, []bool{}
+	for _, c := range classes {
+		k := map[string]any{"name": c.name, "aim-us": 400000, "deadline-us": 3000000, "importance": 1.0,
+			"semantics": effects[c.effect], "window-us": c.window.Microseconds()}
+		if c.effect == keyed {
+			k["key-scope"] = "all"
+		}
+		if c.inOrder {
+			k["in-turn"] = true
+		}
+		list, threads, loads = append(list, k), append(threads, 1), append(loads, false)
+	}
+	rules := map[string]any{"grace-to-answer-us": 5000, "stop-sending-within-us": drainGrace.Microseconds(),
+		"cold-from": coldFrom, "ramp-time-us": coldFor.Microseconds(), "overload-factor": coldMultiple,
+		"overload-for-us": coldWindow.Microseconds(), "settle-after-doubt-us": orderRest.Microseconds()}
+	if f.plan.Budget {
+		rules["free-resends"], rules["further-ratio"] = budgetFree, budgetShare
+		rules["look-back-us"] = budgetOver.Microseconds()
+	}
+	return map[string]any{"classes": list, "shapes": []string{"k"}, "specifics": map[string]any{
+		"class-threads": threads, "cpu-of-kind": []float64{nodeCores}, "kind-memory-mb": []float64{65536},
+		"writes-tables": loads, "yields-to-loads": loads}, "rules": rules,
+		"limits": map[string]any{"cancel": true, "may-probe": true, "max-attempts": 5, "retry-after": true,
+			"max-retry-after-us": 1000000, "connect-timeout-us": 250000, "conn-idle-us": 10000000},
+		"peers-total": f.plan.Dispatchers, "ordinal": 0, "tick-us": 1000, "tenants": []any{}, "zone": "z",
+		"membership-mode": "push"}
+}
+
+// play has the plan's troubles happen at their times, until its end.
+func (f *fleet) play(ctx context.Context) {
+	begun := time.Now()
+	for _, t := range f.plan.Troubles {
+		select {
+		case <-time.After(time.Until(begun.Add(t.At))):
+		case <-ctx.Done():
+			return
+		}
+		f.work.Go(func() { f.trouble(t) })
+	}
+	select {
+	case <-time.After(time.Until(begun.Add(f.plan.For))):
+	case <-ctx.Done():
+	}
+}
+
+// trouble has one trouble happen.
+func (f *fleet) trouble(t Trouble) {
+	if t.Dispatcher < 0 {
+		f.nodeTrouble(t, f.nodes[t.Node])
+		return
+	}
+	d := f.dispatchers[t.Dispatcher]
+	links := func(m mode, delay time.Duration) {
+		for _, p := range d.nodes {
+			p.set(m, delay)
+		}
+		time.Sleep(t.For)
+		for _, p := range d.nodes {
+			p.set(linkWell, 0)
+		}
+	}
+	discovery := func(set func(b *board, on bool)) {
+		d.board.set(func(b *board) { set(b, true) })
+		time.Sleep(t.For)
+		d.board.set(func(b *board) { set(b, false) })
+	}
+	switch t.Kind {
+	case Terminate:
+		d.terminate(false)
+	case Kill:
+		d.kill()
+	case Reload:
+		d.reload()
+	case ReloadBurst:
+		for range 4 {
+			d.reload()
+			time.Sleep(t.For / 8)
+		}
+	case DiscDown:
+		discovery(func(b *board, on bool) { b.down = on })
+	case DiscMute:
+		discovery(func(b *board, on bool) { b.mute = on })
+	case DiscSlow:
+		discovery(func(b *board, on bool) { b.slow = on })
+	case DiscTorn:
+		discovery(func(b *board, on bool) { b.torn = on })
+	case LinkDelay:
+		links(linkDelay, 60*time.Millisecond)
+	case LinkCut:
+		links(linkCut, 0)
+		for _, p := range d.nodes { // what was swallowed leaves connections that can't go on
+			p.cutAll()
+		}
+	case LinkBytes:
+		links(linkBytes, 0)
+	case LinkReset:
+		links(linkReset, 0)
+	case LinkForget:
+		for _, p := range d.nodes {
+			p.forget()
+		}
+	case ClientDelay, ClientBytes:
+		f.clientLink(t, d)
+	case ClientsLeave:
+		for i, c := range d.connections() {
+			c.leave(i%2 == 0)
+		}
+	case ClientsTake:
+		for _, c := range d.connections() {
+			c.cancelAll()
+		}
+	case ClientsIdle:
+		f.idleClients(t, d)
+	case ClockStep, CallsFail:
+		f.fault(t, d)
+	}
+}
+
+// clientLink has the clients' link of a dispatcher be slow.
+func (f *fleet) clientLink(t Trouble, d *dispatcher) {
+	const delay = 30 * time.Millisecond
+	d.setLinkDelay(2 * delay)
+	if t.Kind == ClientDelay {
+		d.clients.set(linkDelay, delay)
+	} else {
+		d.clients.set(linkBytes, 0)
+	}
+	time.Sleep(t.For)
+	d.clients.set(linkWell, 0)
+	time.Sleep(2 * delay)
+	d.setLinkDelay(0)
+}
+
+// idleClients opens connections that say nothing.
+func (f *fleet) idleClients(t Trouble, d *dispatcher) {
+	var all []*clientConn
+	for range 60 {
+		if c := d.connect(); c != nil {
+			all = append(all, c)
+		}
+	}
+	time.Sleep(t.For)
+	for _, c := range all {
+		c.leave(true)
+	}
+}
+
+// fault has calls of the system fail inside a dispatcher that was built for it, or its wall clock step.
+func (f *fleet) fault(t Trouble, d *dispatcher) {
+	write := func(v map[string]any) {
+		data, _ := json.Marshal(v)
+		next := filepath.Join(d.dir, "faults.new")
+		os.WriteFile(next, data, 0o644)
+		os.Rename(next, filepath.Join(d.dir, "faults.json"))
+	}
+	if t.Kind == ClockStep {
+		write(map[string]any{"wall_step_ms": t.Step.Milliseconds()})
+	} else {
+		write(map[string]any{"share": 0.2})
+	}
+	time.Sleep(t.For)
+	if t.Kind == CallsFail {
+		write(map[string]any{})
+	}
+}
+
+// nodeTrouble has a trouble of a compute node happen.
+func (f *fleet) nodeTrouble(t Trouble, n *computeNode) {
+	during := func(set func(n *computeNode, on bool)) {
+		n.set(func(n *computeNode) { set(n, true) })
+		time.Sleep(t.For)
+		n.set(func(n *computeNode) { set(n, false) })
+	}
+	switch t.Kind {
+	case NodeDrain, NodeCrash:
+		if !n.claim() {
+			return
+		}
+		defer n.release()
+		if t.Kind == NodeDrain {
+			f.drain(t, n)
+			return
+		}
+		n.crash()
+		time.Sleep(t.For / 2)
+		f.comeBack(n)
+	case NodeHang:
+		hung := make(chan struct{})
+		n.set(func(n *computeNode) {
+			if n.hung == nil {
+				n.hung = hung
+			}
+		})
+		time.Sleep(t.For)
+		n.set(func(n *computeNode) {
+			if n.hung == hung {
+				n.hung = nil
+			}
+		})
+		close(hung)
+	case NodeFull:
+		during(func(n *computeNode, on bool) { n.full = on })
+	case NodeErrors:
+		during(func(n *computeNode, on bool) { n.errors = on })
+	case NodeTwice:
+		during(func(n *computeNode, on bool) { n.twice = on })
+	}
+}
+
+// drain has a compute node drain, leave, and another come at its address.
+func (f *fleet) drain(t Trouble, n *computeNode) {
+	f.mu.Lock()
+	up, others := f.servers[n.index].State == "up", 0
+	for _, s := range f.servers {
+		if s.State == "up" {
+			others++
+		}
+	}
+	f.mu.Unlock()
+	if !up || others < len(f.nodes)/2+1 {
+		return
+	}
+	f.tell(n.index, func(s *server) { s.State = "draining" })
+	time.Sleep(drainGrace + time.Second + t.For)
+	n.crash()
+	time.Sleep(100 * time.Millisecond)
+	f.comeBack(n)
+}
+
+// comeBack has a new process come up at a compute node's address, cold.
+func (f *fleet) comeBack(n *computeNode) {
+	for range 100 {
+		if n.listen(n.addr) == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	id := n.id()
+	f.oracle.started(id)
+	f.tell(n.index, func(s *server) { s.ID, s.State, s.Started = id, "up", time.Now().UnixMilli() })
+}
+
+// cancelAll takes back all that is open on a connection.
+func (c *clientConn) cancelAll() {
+	c.mu.Lock()
+	var open []string
+	for _, ticket := range c.open {
+		open = append(open, ticket)
+	}
+	c.mu.Unlock()
+	for _, ticket := range open {
+		c.cancel(ticket)
+	}
+}
+
+// isReset reports whether a connection was reset by the other side.
+func isReset(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,298 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Of the platform's protocol, as this stand-in keeps it.
+const (
+	newsAfter = 250 * time.Millisecond // a question is answered without news
+	unaskedBy = 2 * time.Second        // a query that nobody asks for is given up
+)
+
+// run is a query on a compute node.
+type run struct {
+	class    string
+	asked    time.Time
+	ends     time.Time
+	pages    []string
+	over     bool // ended or given up
+	good     bool
+	notified chan struct{} // closed when it is over
+}
+
+// computeNode stands in for a compute node. Its life goes on when its process dies and another comes at its
+// address: each is a generation.
+type computeNode struct {
+	index  int
+	oracle *oracle
+
+	mu         sync.Mutex
+	busy       bool // it is about to end or to come back
+	generation int
+	runs       map[string]*run
+	server     *http.Server
+	ln         net.Listener
+	addr       string
+	hung       chan struct{} // closed at the end of a hang; nil: none
+	full       bool
+	errors     bool
+	twice      bool
+	work       map[string]time.Duration // mean time by class
+	random     *rand.Rand
+	ended      sync.WaitGroup
+}
+
+func newComputeNode(index int, o *oracle, seed uint64) (*computeNode, error) {
+	n := &computeNode{index: index, oracle: o, runs: map[string]*run{},
+		work:   map[string]time.Duration{},
+		random: rand.New(rand.NewPCG(seed, uint64(index)+1))}
+	for _, c := range classes {
+		n.work[c.name] = c.work
+	}
+	return n, n.listen("127.0.0.1:0")
+}
+
+// id is the name of the present generation.
+func (n *computeNode) id() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return fmt.Sprintf("n%d-%d", n.index, n.generation)
+}
+
+// listen begins to serve at an address.
+func (n *computeNode) listen(addr string) error {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: n}
+	n.mu.Lock()
+	n.ln, n.addr, n.server = ln, ln.Addr().String(), server
+	n.mu.Unlock()
+	n.ended.Go(func() { server.Serve(ln) })
+	return nil
+}
+
+// crash ends the process: its connections are reset and its queries are lost.
+func (n *computeNode) crash() {
+	n.mu.Lock()
+	server, runs := n.server, n.runs
+	n.runs = map[string]*run{}
+	n.generation++
+	n.mu.Unlock()
+	server.Close()
+	for ticket, r := range runs {
+		n.end(ticket, r, false)
+	}
+}
+
+// end ends a query.
+func (n *computeNode) end(ticket string, r *run, good bool) {
+	n.mu.Lock()
+	was := r.over
+	if !was {
+		r.over, r.good = true, good
+		close(r.notified)
+	}
+	n.mu.Unlock()
+	if !was {
+		n.oracle.out(ticket, n.index, false)
+	}
+}
+
+// claim begins an end of its process, unless one goes on.
+func (n *computeNode) claim() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	was := n.busy
+	n.busy = true
+	return !was
+}
+
+func (n *computeNode) release() { n.set(func(n *computeNode) { n.busy = false }) }
+
+// set changes how the node answers.
+func (n *computeNode) set(change func(n *computeNode)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change(n)
+}
+
+// sweep gives up queries that nobody asks for, until stop is closed.
+func (n *computeNode) sweep(stop <-chan struct{}) {
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-tick.C:
+		}
+		n.mu.Lock()
+		late := map[string]*run{}
+		for ticket, r := range n.runs {
+			if !r.over && time.Since(r.asked) > unaskedBy {
+				late[ticket] = r
+			}
+		}
+		n.mu.Unlock()
+		for ticket, r := range late {
+			n.end(ticket, r, false)
+		}
+	}
+}
+
+func (n *computeNode) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	io.ReadAll(q.Body)
+	n.mu.Lock()
+	hung, full, failing := n.hung, n.full, n.errors
+	n.mu.Unlock()
+	parts := strings.Split(strings.Trim(q.URL.Path, "/"), "/")
+	ticket := q.Header.Get("X-Ticket")
+	var r *run
+	if q.Method == "POST" && !full { // it is out from here on, also while the node hangs
+		r = n.register(ticket, q.Header.Get("X-Queue"))
+	}
+	if hung != nil {
+		select {
+		case <-hung:
+		case <-q.Context().Done():
+			return
+		}
+	}
+	switch {
+	case q.Method == "POST" && full:
+		w.Header().Set("X-Shed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case q.Method == "POST" && failing:
+		n.end(ticket, r, false)
+		w.WriteHeader(http.StatusInternalServerError)
+	case q.Method == "POST":
+		n.wait(w, q, ticket, r)
+	case q.Method == "DELETE" && len(parts) == 2:
+		if r := n.find(parts[1]); r != nil {
+			n.end(parts[1], r, false)
+		}
+		w.WriteHeader(http.StatusNoContent)
+	case q.Method == "GET" && len(parts) == 3:
+		n.tell(w, q, parts[1], parts[2])
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+func (n *computeNode) find(ticket string) *run {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runs[ticket]
+}
+
+// register takes a query that came.
+func (n *computeNode) register(ticket, class string) *run {
+	n.mu.Lock()
+	r := n.runs[ticket]
+	fresh := r == nil || r.over
+	if fresh {
+		mean := n.work[class]
+		took := mean/2 + time.Duration(n.random.ExpFloat64()*float64(mean)/2)
+		r = &run{class: class, asked: time.Now(), ends: time.Now().Add(took), notified: make(chan struct{})}
+		for page := range 1 + n.random.IntN(3) {
+			r.pages = append(r.pages, fmt.Sprintf("%s\t%d\t%016x\n", ticket, page, n.random.Uint64()))
+		}
+		n.runs[ticket] = r
+	}
+	n.mu.Unlock()
+	if fresh {
+		n.oracle.out(ticket, n.index, true)
+		n.oracle.made(ticket, strings.Join(r.pages, ""))
+	}
+	return r
+}
+
+// wait answers with a query's end, or without news.
+func (n *computeNode) wait(w http.ResponseWriter, q *http.Request, ticket string, r *run) {
+	news := time.NewTimer(newsAfter)
+	defer news.Stop()
+	done := time.NewTimer(time.Until(r.ends))
+	defer done.Stop()
+	select {
+	case <-done.C:
+		n.end(ticket, r, true)
+	case <-r.notified:
+	case <-news.C:
+		w.WriteHeader(http.StatusAccepted)
+		return
+	case <-q.Context().Done():
+		return
+	}
+	n.mu.Lock()
+	good := r.good
+	n.mu.Unlock()
+	if !good {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	n.page(w, r, 0)
+}
+
+// page writes a page of a result.
+func (n *computeNode) page(w http.ResponseWriter, r *run, page int) {
+	n.mu.Lock()
+	twice := n.twice
+	n.mu.Unlock()
+	if page == 0 {
+		w.Header().Set("Page-Count", fmt.Sprint(len(r.pages)))
+	} else {
+		w.Header().Set("Page-No", fmt.Sprint(page))
+	}
+	if !twice {
+		io.WriteString(w, r.pages[page])
+		return
+	}
+	c, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nPage-Count: %d\r\nPage-No: %d\r\nContent-Length: %d\r\n\r\n%s",
+		len(r.pages), page, len(r.pages[page]), r.pages[page])
+	io.WriteString(c, text)
+	time.Sleep(3 * time.Millisecond)
+	io.WriteString(c, text)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// tell answers a question for a page, or for news.
+func (n *computeNode) tell(w http.ResponseWriter, q *http.Request, ticket, number string) {
+	n.mu.Lock()
+	r := n.runs[ticket]
+	if r != nil {
+		r.asked = time.Now()
+	}
+	n.mu.Unlock()
+	page := 0
+	fmt.Sscan(number, &page)
+	switch {
+	case r == nil || page < 0 || page >= len(r.pages):
+		w.WriteHeader(http.StatusInternalServerError)
+	case page == 0:
+		n.wait(w, q, ticket, r)
+	default:
+		n.mu.Lock()
+		good := r.good
+		n.mu.Unlock()
+		if !good {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		n.page(w, r, page)
+	}
+}
--- /dev/null
+++ b/internal/soak/oracle.go
@@ -0,0 +1,459 @@
+package soak
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+)
+
+// effect says what a repeat of a class does.
+type effect int
+
+// The effects.
+const (
+	safe effect = iota
+	keyed
+	unsafe
+)
+
+// class is a class of requests of the soak's fleet.
+type class struct {
+	name    string
+	effect  effect
+	inOrder bool
+	window  time.Duration
+	work    time.Duration // mean, on one core
+	share   float64       // of the requests
+}
+
+var classes = []class{
+	{name: "quick", effect: safe, work: 40 * time.Millisecond, share: 0.55},
+	{name: "load", effect: keyed, window: 3 * time.Second, work: 150 * time.Millisecond, share: 0.15},
+	{name: "once", effect: unsafe, work: 80 * time.Millisecond, share: 0.15},
+	{name: "turn", effect: safe, inOrder: true, work: 60 * time.Millisecond, share: 0.15},
+}
+
+func classOf(name string) class {
+	for _, c := range classes {
+		if c.name == name {
+			return c
+		}
+	}
+	return class{name: name, effect: unsafe}
+}
+
+// Of the settings that the fleet is given, and the slack with which the platform's page judges. measured is what
+// this machine may take between an act and its entry here.
+const (
+	drainGrace   = 2 * time.Second
+	orderRest    = 100 * time.Millisecond
+	lateAnswer   = 500 * time.Millisecond
+	afterClient  = 100 * time.Millisecond
+	deadlineMore = 150 * time.Millisecond
+	measured     = 60 * time.Millisecond
+	budgetFree   = 2.0
+	budgetShare  = 0.1
+	budgetOver   = 4 * time.Second
+	coldFrom     = 0.3
+	coldFor      = 6 * time.Second
+	coldMultiple = 2.5
+	coldWindow   = time.Second
+	nodeCores    = 4.0
+	troubleTold  = 4 * time.Second // after discovery's trouble, what it would have told counts as told
+)
+
+// Finding is a rule that was broken.
+type Finding struct {
+	Invariant string
+	Ticket    string // "": of no request
+	At        time.Duration
+	Detail    string
+}
+
+func (f Finding) String() string {
+	return fmt.Sprintf("%.3fs %s %s: %s", f.At.Seconds(), f.Invariant, f.Ticket, f.Detail)
+}
+
+// heard is an answer that came.
+type heard struct {
+	kind answerKind
+	body string
+	at   time.Time
+}
+
+// post is a start of a query, as the tap on a link saw it.
+type post struct {
+	call
+	node       int
+	generation string
+	dispatcher int
+	life       int
+}
+
+// interval is a time in which an attempt was out at a compute node.
+type interval struct {
+	node     int
+	from, to time.Time // to zero: yet
+}
+
+// asked is a request with all that was seen of it.
+type asked struct {
+	ticket, class, key string
+	dispatcher, life   int
+	sent               time.Time // its last byte
+	limit              time.Duration
+	answers            []heard
+	gone               time.Time // its client cancelled or closed; zero: it waits
+	ended              time.Time // its connection ended without an answer
+	excused            string    // why no answer is owed
+	posts              []post
+	outs               []interval
+	made               []string
+}
+
+// toldKey names what a dispatcher was told of a compute node.
+type toldKey struct {
+	dispatcher, life int
+	generation       string
+}
+
+// oracle takes in what is seen, and judges it in the end. It is for any number of goroutines.
+type oracle struct {
+	mu       sync.Mutex
+	zero     time.Time
+	requests map[string]*asked
+	drains   map[toldKey]time.Time
+	cold     map[string]time.Time // starts, by generation
+	findings []Finding
+	budget   bool
+}
+
+func newOracle(budget bool) *oracle {
+	return &oracle{zero: time.Now(), requests: map[string]*asked{}, drains: map[toldKey]time.Time{},
+		cold: map[string]time.Time{}, budget: budget}
+}
+
+// found enters a broken rule.
+func (o *oracle) found(invariant, ticket, format string, args ...any) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.find(invariant, ticket, time.Now(), format, args...)
+}
+
+func (o *oracle) find(invariant, ticket string, at time.Time, format string, args ...any) {
+	o.findings = append(o.findings, Finding{invariant, ticket, at.Sub(o.zero), fmt.Sprintf(format, args...)})
+}
+
+// change has a request's entry changed.
+func (o *oracle) change(ticket string, f func(a *asked)) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.requests[ticket]
+	if a == nil {
+		a = &asked{ticket: ticket, class: "?"}
+		o.requests[ticket] = a
+	}
+	f(a)
+}
+
+// out enters that an attempt came whole to a compute node, or that it is over there.
+func (o *oracle) out(ticket string, node int, begun bool) {
+	now := time.Now()
+	o.change(ticket, func(a *asked) {
+		if begun {
+			a.outs = append(a.outs, interval{node: node, from: now})
+			return
+		}
+		for i := range a.outs {
+			if a.outs[i].node == node && a.outs[i].to.IsZero() {
+				a.outs[i].to = now
+			}
+		}
+	})
+}
+
+// made enters a result.
+func (o *oracle) made(ticket, body string) {
+	o.change(ticket, func(a *asked) { a.made = append(a.made, body) })
+}
+
+// killed excuses all requests of a dispatcher's life that have no answer.
+func (o *oracle) killed(dispatcher, life int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.requests {
+		if a.dispatcher == dispatcher && a.life == life && len(a.answers) == 0 && a.excused == "" {
+			a.excused = "its dispatcher was killed"
+		}
+	}
+}
+
+// drained enters that a drain was told.
+func (o *oracle) drained(dispatcher, life int, generation string, at time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, ok := o.drains[toldKey{dispatcher, life, generation}]; !ok {
+		o.drains[toldKey{dispatcher, life, generation}] = at
+	}
+}
+
+// started enters a cold start.
+func (o *oracle) started(generation string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.cold[generation] = time.Now()
+}
+
+// judge judges all that was seen, at the end.
+func (o *oracle) judge() []Finding {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.requests {
+		if a.class != "?" {
+			o.judgeAnswer(a)
+			o.judgePosts(a)
+			o.judgeRepeats(a)
+		}
+	}
+	o.judgeOrder()
+	if o.budget {
+		o.judgeBudget()
+	}
+	o.judgeCold()
+	sort.SliceStable(o.findings, func(i, j int) bool { return o.findings[i].At < o.findings[j].At })
+	return o.findings
+}
+
+func (o *oracle) judgeAnswer(a *asked) {
+	switch {
+	case len(a.answers) > 1:
+		o.find("second_answer", a.ticket, a.answers[1].at, "%d answers", len(a.answers))
+	case len(a.answers) == 0 && a.gone.IsZero() && a.excused == "":
+		o.find("lost", a.ticket, a.sent, "class %s at dispatcher %d: no answer in %v; connection ended %v", a.class,
+			a.dispatcher, a.limit, !a.ended.IsZero())
+	}
+	if len(a.answers) == 0 {
+		return
+	}
+	first := a.answers[0]
+	if late := first.at.Sub(a.sent) - a.limit; late > lateAnswer+measured && a.gone.IsZero() {
+		o.find("late", a.ticket, first.at, "%s %v after its time", first.kind, late)
+	}
+	if first.kind == answerServed && !slices.Contains(a.made, first.body) {
+		o.find("served_other", a.ticket, first.at, "%q, of %d results made", first.body, len(a.made))
+	}
+}
+
+func (o *oracle) judgePosts(a *asked) {
+	for _, p := range a.posts {
+		if !a.gone.IsZero() {
+			if late := p.first.Sub(a.gone); late > afterClient+measured {
+				o.find("sent_after_gone", a.ticket, p.first, "%v after its client had gone", late)
+			}
+		}
+		if len(a.answers) > 0 {
+			if late := p.first.Sub(a.answers[0].at); late > 0 {
+				o.find("sent_after_answer", a.ticket, p.first, "%v after its answer", late)
+			}
+		}
+		if more := p.limit - (a.limit - p.first.Sub(a.sent)); more > deadlineMore+measured {
+			o.find("told_deadline", a.ticket, p.first, "%v told, %v more than is left", p.limit, more)
+		}
+		if told, ok := o.drains[toldKey{p.dispatcher, p.life, p.generation}]; ok {
+			if late := p.first.Sub(told); late > drainGrace+measured {
+				o.find("sent_to_drained", a.ticket, p.first, "%s %v after its drain was told", p.generation, late)
+			}
+		}
+	}
+}
+
+func (o *oracle) judgeRepeats(a *asked) {
+	c := classOf(a.class)
+	sort.Slice(a.outs, func(i, j int) bool { return a.outs[i].from.Before(a.outs[j].from) })
+	for i := 1; i < len(a.outs); i++ {
+		before, now := a.outs[i-1], a.outs[i]
+		if c.effect == unsafe {
+			o.find("repeated_unsafe", a.ticket, now.from, "at node %d after node %d", now.node, before.node)
+		}
+		if before.to.IsZero() || now.from.Before(before.to) {
+			o.find("repeated_beside", a.ticket, now.from, "at node %d while at node %d", now.node, before.node)
+		}
+		if late := now.from.Sub(a.outs[0].from) - c.window; c.effect == keyed && late > measured {
+			o.find("repeated_late", a.ticket, now.from, "%v after its window", late)
+		}
+	}
+}
+
+// judgeOrder finds requests of one key that were out together.
+func (o *oracle) judgeOrder() {
+	byKey := map[string][]*asked{}
+	for _, a := range o.requests {
+		if classOf(a.class).inOrder && a.key != "" {
+			byKey[a.key] = append(byKey[a.key], a)
+		}
+	}
+	for _, all := range byKey {
+		for i, a := range all {
+			for _, b := range all[i+1:] {
+				if both, at := together(a, b); both {
+					o.find("out_of_order", a.ticket, at, "key %s, beside %s", a.key, b.ticket)
+				}
+			}
+		}
+	}
+}
+
+func together(a, b *asked) (bool, time.Time) {
+	if a.dispatcher != b.dispatcher || a.life != b.life {
+		return false, time.Time{}
+	}
+	for _, x := range a.outs {
+		for _, y := range b.outs {
+			if (y.to.IsZero() || x.from.Before(y.to)) && (x.to.IsZero() || y.from.Before(x.to)) {
+				if x.from.Before(y.from) {
+					return true, y.from
+				}
+				return true, x.from
+			}
+		}
+	}
+	return false, time.Time{}
+}
+
+// judgeBudget finds further attempts beyond what the requests of the time before allow. Either edge of the time
+// may be read a little later or earlier.
+func (o *oracle) judgeBudget() {
+	type life struct{ dispatcher, life int }
+	taken, further := map[life][]time.Time{}, map[life][]post{}
+	for _, a := range o.requests {
+		at := life{a.dispatcher, a.life}
+		if !a.sent.IsZero() {
+			taken[at] = append(taken[at], a.sent)
+		}
+		sort.Slice(a.posts, func(i, j int) bool { return a.posts[i].first.Before(a.posts[j].first) })
+		for i, p := range a.posts {
+			if i > 0 {
+				p.ticket = a.ticket
+				further[at] = append(further[at], p)
+			}
+		}
+	}
+	for at, posts := range further {
+		for _, p := range posts {
+			broken := true
+			for _, edge := range []time.Duration{-measured, 0, measured} {
+				from := p.first.Add(edge - budgetOver)
+				used, allowed := 0.0, budgetFree
+				for _, other := range posts {
+					if other.first.After(from) && !other.first.After(p.first) {
+						used++
+					}
+				}
+				for _, t := range taken[at] {
+					if t.After(from) && !t.After(p.first.Add(measured)) {
+						allowed += budgetShare
+					}
+				}
+				broken = broken && used > allowed+1e-9
+			}
+			if broken {
+				o.find("over_budget", p.ticket, p.first, "dispatcher %d", at.dispatcher)
+			}
+		}
+	}
+}
+
+// judgeCold finds cold compute nodes that were given more than they bear.
+func (o *oracle) judgeCold() {
+	arrivals := map[string][]post{}
+	mean, shares := 0.0, 0.0
+	for _, c := range classes {
+		mean, shares = mean+c.share*c.work.Seconds(), shares+c.share
+	}
+	mean /= shares
+	for _, a := range o.requests {
+		for _, p := range a.posts {
+			if start, ok := o.cold[p.generation]; ok && p.first.Sub(start) < coldFor {
+				arrivals[p.generation] = append(arrivals[p.generation], p)
+			}
+		}
+	}
+	for generation, posts := range arrivals {
+		start := o.cold[generation]
+		for _, p := range posts {
+			work := 0.0
+			for _, other := range posts {
+				if since := p.first.Sub(other.first); since >= 0 && since < coldWindow {
+					work += classOf(other.class).work.Seconds() / mean
+				}
+			}
+			warmth := coldFrom + (1-coldFrom)*p.first.Sub(start).Seconds()/coldFor.Seconds()
+			n := coldMultiple * nodeCores * warmth * coldWindow.Seconds() / mean
+			allowed := n + 2*math.Sqrt(n) + 2
+			if n < 30 {
+				allowed = n + 3*math.Sqrt(n) + 3
+			}
+			if work > allowed {
+				o.find("cold_overload", p.ticket, p.first, "%s: %.0f requests in %v, %.0f allowed", generation, work,
+					coldWindow, allowed)
+				break
+			}
+		}
+	}
+}
+
+// counts tells how many requests ended in which way.
+func (o *oracle) counts() map[string]int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out := map[string]int{}
+	for _, a := range o.requests {
+		switch {
+		case len(a.answers) > 0:
+			out[string(a.answers[0].kind)]++
+		case !a.gone.IsZero():
+			out["gone"]++
+		case a.excused != "":
+			out["excused"]++
+		default:
+			out["none"]++
+		}
+		if len(a.posts) > 1 {
+			out["sent again"]++
+		}
+	}
+	return out
+}
+
+// story tells all that was seen of a request.
+func (o *oracle) story(ticket string) (lines []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a := o.requests[ticket]
+	if a == nil {
+		return nil
+	}
+	at := func(t time.Time) string {
+		if t.IsZero() {
+			return "never"
+		}
+		return fmt.Sprintf("%.3fs", t.Sub(o.zero).Seconds())
+	}
+	lines = append(lines, fmt.Sprintf("request %s of class %s, key %q, at dispatcher %d life %d: sent %s, limit %v, "+
+		"client gone %s, connection ended %s, excused %q", a.ticket, a.class, a.key, a.dispatcher, a.life,
+		at(a.sent), a.limit, at(a.gone), at(a.ended), a.excused))
+	for _, p := range a.posts {
+		lines = append(lines, fmt.Sprintf("  started at node %d (%s) %s to %s, told %v", p.node, p.generation,
+			at(p.first), at(p.whole), p.limit))
+	}
+	for _, x := range a.outs {
+		lines = append(lines, fmt.Sprintf("  out at node %d %s to %s", x.node, at(x.from), at(x.to)))
+	}
+	for _, h := range a.answers {
+		lines = append(lines, fmt.Sprintf("  %s %s", h.kind, at(h.at)))
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,168 @@
+// Package soak plays a fleet of real dispatcher processes among stand-ins, through faulty links, and judges the
+// rules from what was seen on the links. A seed gives the whole plan of troubles; two or three overlap on
+// purpose. The judge reads the protocol by itself and shares no code with the dispatcher.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Kind is a kind of trouble.
+type Kind string
+
+// The kinds of trouble. Those of a dispatcher concern one dispatcher, those of a node one compute node.
+const (
+	Terminate    Kind = "terminate"      // SIGTERM, and a new process after its end
+	Kill         Kind = "kill"           // SIGKILL, and a new process
+	Reload       Kind = "reload"         // discovery moves, SIGHUP
+	ReloadBurst  Kind = "reload-burst"   // several in quick succession
+	DiscDown     Kind = "discovery-down" // refuses connections and ends those that are open
+	DiscMute     Kind = "discovery-mute" // open watches fall silent
+	DiscSlow     Kind = "discovery-slow" // takes 2.2 s for each answer
+	DiscTorn     Kind = "discovery-torn" // breaks off in the middle of events
+	LinkDelay    Kind = "link-delay"     // to all compute nodes
+	LinkCut      Kind = "link-cut"       // nothing comes through, nothing is closed
+	LinkBytes    Kind = "link-bytes"     // one byte at a time
+	LinkReset    Kind = "link-reset"     // connections are reset, with bytes on the way
+	LinkForget   Kind = "link-forget"    // resting connections are forgotten: silence for what comes on them
+	ClientDelay  Kind = "client-delay"   // the clients' links of a dispatcher
+	ClientBytes  Kind = "client-bytes"
+	ClientsLeave Kind = "clients-leave"  // all its clients close, with requests open
+	ClientsTake  Kind = "clients-cancel" // all open requests are taken back
+	ClientsIdle  Kind = "clients-idle"   // many connections that say nothing
+	NodeDrain    Kind = "node-drain"     // drains, leaves, and another comes at its address
+	NodeCrash    Kind = "node-crash"     // and comes back cold
+	NodeHang     Kind = "node-hang"
+	NodeFull     Kind = "node-full"
+	NodeErrors   Kind = "node-errors"
+	NodeTwice    Kind = "node-twice" // answers come twice
+	ClockStep    Kind = "clock-step" // the dispatcher's wall clock, by seconds or an hour
+	CallsFail    Kind = "calls-fail" // accept, connect and looks at sockets fail now and then
+)
+
+var (
+	ofDispatcher = []Kind{Terminate, Kill, Reload, ReloadBurst, DiscDown, DiscMute, DiscSlow, DiscTorn, LinkDelay,
+		LinkCut, LinkBytes, LinkReset, LinkForget, ClientDelay, ClientBytes, ClientsLeave, ClientsTake,
+		ClientsIdle}
+	ofNode  = []Kind{NodeDrain, NodeCrash, NodeHang, NodeFull, NodeErrors, NodeTwice}
+	ofFault = []Kind{ClockStep, CallsFail} // these need the build for the soak
+)
+
+// Trouble is one trouble of a plan.
+type Trouble struct {
+	At, For    time.Duration
+	Kind       Kind
+	Dispatcher int // -1: of a node
+	Node       int
+	Step       time.Duration // of the wall clock
+}
+
+func (t Trouble) String() string {
+	where := fmt.Sprintf("dispatcher %d", t.Dispatcher)
+	if t.Dispatcher < 0 {
+		where = fmt.Sprintf("node %d", t.Node)
+	}
+	s := fmt.Sprintf("%6.2fs for %.2fs %s, %s", t.At.Seconds(), t.For.Seconds(), t.Kind, where)
+	if t.Step != 0 {
+		s += fmt.Sprintf(" by %v", t.Step)
+	}
+	return s
+}
+
+// Plan is all that a seed decides.
+type Plan struct {
+	Seed        uint64
+	For         time.Duration
+	Dispatchers int
+	Nodes       int
+	Rate        float64 // requests a second for each dispatcher
+	Budget      bool    // further attempts are rationed
+	Troubles    []Trouble
+}
+
+func (p *Plan) String() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %v\n", p.Seed,
+		p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.For)
+	for _, t := range p.Troubles {
+		fmt.Fprintf(&b, "  %s\n", t)
+	}
+	return b.String()
+}
+
+// Options bound a plan.
+type Options struct {
+	Seed        uint64
+	For         time.Duration
+	Dispatchers int
+	Faults      bool // the program was built for the soak
+}
+
+// Of plans.
+const (
+	nodesLeast, nodesMost = 5, 8
+	rateLeast, rateMost   = 8, 24
+	quietFirst            = 1500 * time.Millisecond // before the first trouble
+	quietLast             = 5 * time.Second         // after the last one begins
+	troubleEvery          = 700 * time.Millisecond  // in the mean, over the fleet
+	secondOf              = 0.75                    // chance of a second trouble inside the first one's time
+	thirdOf               = 0.3
+)
+
+// NewPlan draws the plan of a seed.
+func NewPlan(o Options) *Plan {
+	r := rand.New(rand.NewPCG(o.Seed, 0x50a4))
+	p := &Plan{Seed: o.Seed, For: o.For, Dispatchers: o.Dispatchers,
+		Nodes: nodesLeast + r.IntN(nodesMost-nodesLeast+1), Rate: float64(rateLeast + r.IntN(rateMost-rateLeast+1)),
+		Budget: r.IntN(2) == 0}
+	for at := quietFirst; at < o.For-quietLast; {
+		first := draw(r, p, o.Faults, at)
+		p.Troubles = append(p.Troubles, first)
+		if r.Float64() < secondOf {
+			p.Troubles = append(p.Troubles, inside(r, p, o.Faults, first))
+		}
+		if r.Float64() < thirdOf {
+			p.Troubles = append(p.Troubles, inside(r, p, o.Faults, first))
+		}
+		at += time.Duration(r.ExpFloat64() * float64(troubleEvery))
+	}
+	sort.SliceStable(p.Troubles, func(i, j int) bool { return p.Troubles[i].At < p.Troubles[j].At })
+	return p
+}
+
+func draw(r *rand.Rand, p *Plan, faults bool, at time.Duration) Trouble {
+	t := Trouble{At: at, For: 200*time.Millisecond + time.Duration(r.ExpFloat64()*float64(1500*time.Millisecond)),
+		Dispatcher: r.IntN(p.Dispatchers), Node: r.IntN(p.Nodes)}
+	switch n := r.IntN(10); {
+	case faults && n == 0:
+		t.Kind = ofFault[r.IntN(len(ofFault))]
+	case n < 7:
+		t.Kind = ofDispatcher[r.IntN(len(ofDispatcher))]
+	default:
+		t.Kind, t.Dispatcher = ofNode[r.IntN(len(ofNode))], -1
+	}
+	if t.Kind == ClockStep {
+		steps := []time.Duration{time.Hour, -time.Hour, 7 * time.Second, -7 * time.Second}
+		t.Step = steps[r.IntN(len(steps))]
+	}
+	t.For = min(t.For, 6*time.Second)
+	return t
+}
+
+// inside draws a trouble that begins while another goes on, mostly where that one is.
+func inside(r *rand.Rand, p *Plan, faults bool, first Trouble) Trouble {
+	// The first moments of a trouble are those in which it crosses the most.
+	within := min(first.For, time.Duration(r.ExpFloat64()*float64(250*time.Millisecond)))
+	t := draw(r, p, faults, first.At+within)
+	if r.IntN(4) > 0 {
+		t.Node = first.Node
+		if t.Dispatcher >= 0 && first.Dispatcher >= 0 {
+			t.Dispatcher = first.Dispatcher
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// mode is how a link behaves.
+type mode int
+
+// The modes of a link.
+const (
+	linkWell  mode = iota
+	linkDelay      // each piece comes later
+	linkBytes      // one byte at a time
+	linkCut        // nothing comes through, nothing is closed, new connections stay silent
+	linkReset      // connections are reset when something comes on them
+)
+
+// proxy is a link: it takes connections on a port of its own and passes bytes on as its mode says. tap sees what
+// the near side writes, at once, whatever the mode does with it then.
+type proxy struct {
+	ln     net.Listener
+	target string
+	tap    func(connection int, now time.Time, b []byte)
+
+	mu    sync.Mutex
+	mode  mode
+	delay time.Duration
+	conns map[int]*pair
+	last  int
+	done  sync.WaitGroup
+}
+
+// pair is a connection through a link.
+type pair struct {
+	near, far net.Conn
+	forgotten bool // nothing comes through any more
+	lastUsed  time.Time
+}
+
+func newProxy(target string, tap func(connection int, now time.Time, b []byte)) (*proxy, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &proxy{ln: ln, target: target, tap: tap, conns: map[int]*pair{}}
+	p.done.Go(p.run)
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.ln.Addr().String() }
+
+func (p *proxy) run() {
+	for {
+		near, err := p.ln.Accept()
+		if err != nil {
+			return
+		}
+		p.done.Go(func() { p.serve(near) })
+	}
+}
+
+// serve connects a connection with the target and passes bytes both ways until one side ends.
+func (p *proxy) serve(near net.Conn) {
+	c := &pair{near: near, lastUsed: time.Now()}
+	p.mu.Lock()
+	p.last++
+	id := p.last
+	p.conns[id] = c
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		delete(p.conns, id)
+		p.mu.Unlock()
+		near.Close()
+	}()
+	far, err := net.DialTimeout("tcp", p.target, time.Second)
+	if err != nil {
+		reset(near)
+		return
+	}
+	defer far.Close()
+	p.mu.Lock()
+	c.far = far
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.pass(id, c, near, far, true) })
+	both.Go(func() { p.pass(id, c, far, near, false) })
+	both.Wait()
+}
+
+// pass passes bytes one way.
+func (p *proxy) pass(id int, c *pair, from, to net.Conn, tapped bool) {
+	b := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(b)
+		if n > 0 {
+			if tapped && p.tap != nil {
+				p.tap(id, time.Now(), b[:n])
+			}
+			if !p.forward(c, to, b[:n]) {
+				return
+			}
+		}
+		if err != nil {
+			p.mu.Lock()
+			silent := p.mode == linkCut || c.forgotten
+			p.mu.Unlock()
+			if silent && !tapped {
+				return // an end behind a cut link is not heard of
+			}
+			if tcp, ok := to.(*net.TCPConn); ok {
+				if isReset(err) {
+					reset(tcp)
+				} else {
+					tcp.CloseWrite()
+				}
+			}
+			return
+		}
+	}
+}
+
+// forward writes bytes as the mode says. It returns false where the connection has ended.
+func (p *proxy) forward(c *pair, to net.Conn, b []byte) bool {
+	p.mu.Lock()
+	mode, delay, forgotten := p.mode, p.delay, c.forgotten
+	c.lastUsed = time.Now()
+	p.mu.Unlock()
+	switch {
+	case forgotten, mode == linkCut:
+		return true // swallowed
+	case mode == linkReset:
+		to.Write(b[:len(b)/2])
+		reset(c.near)
+		reset(c.far)
+		return false
+	case mode == linkDelay:
+		time.Sleep(delay)
+	case mode == linkBytes:
+		for i := range b {
+			if _, err := to.Write(b[i : i+1]); err != nil {
+				return false
+			}
+		}
+		return true
+	}
+	_, err := to.Write(b)
+	return err == nil
+}
+
+// set puts a mode in force.
+func (p *proxy) set(m mode, delay time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode, p.delay = m, delay
+}
+
+// forget has connections that rest be silent from now on.
+func (p *proxy) forget() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		if time.Since(c.lastUsed) > 300*time.Millisecond {
+			c.forgotten = true
+		}
+	}
+}
+
+// cutAll resets all connections.
+func (p *proxy) cutAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		reset(c.near)
+		reset(c.far)
+	}
+}
+
+func (p *proxy) close() {
+	p.ln.Close()
+	p.cutAll()
+	p.done.Wait()
+}
+
+// reset closes a connection so that the other side sees a reset.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok && tcp != nil {
+		tcp.SetLinger(0)
+		tcp.Close()
+	}
+}
