Faulty system calls, clocks and fourteen mutants under the build tag faults

Need: the soak has to step clocks, fail calls and prove its judge. Change: the tag builds the faulty form of the platform's system calls, led by a file that the soak writes, and lets one guard be left out by name. Any other build has neither: mutated is false there.

--- a/internal/platform/acts.go
+++ b/internal/platform/acts.go
@@ -72,8 +72,8 @@
 	g.mu.Lock()
 	v := g.ledger.Begin(time.Now(), a.q.ID, a.number, at)
 	g.mu.Unlock()
-	if g.judge(v, a.q.Ticket) {
-		return 0, v
+	if g.judge(v, a.q.Ticket) || v.Name == invariant.RepeatedOverBudget && mutated(noBudgetAtBegin) {
+		return 0, invariant.Verdict{}
 	}
 	switch v.Name {
 	case invariant.SentTooLate, invariant.SentToDrained, invariant.RepeatedLate:
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -100,6 +100,10 @@
 			step = m.Next(now(), got)
 		}
 		if stopped && step.Type != computenode.End {
+			if mutated(noGiveUp) {
+				step = computenode.Step{Type: computenode.End, Outcome: a.outcome}
+				break
+			}
 			stopSeen = true
 			release(false) // it was interrupted
 			step = m.Next(now(), computenode.Event{Type: computenode.Stop, Outcome: a.outcome})
@@ -170,6 +174,9 @@
 // attempt may have waited for a connection and for a dial, and its client, its compute node, its time or its
 // budget may have gone meanwhile.
 func (a *attempt) mayBegin() (computenode.EventType, bool) {
+	if mutated(noLookAtBegin) {
+		return 0, true
+	}
 	if a.s.front.get(a.q.ID) == nil {
 		a.s.events.Add(a.event(eventlog.Withheld, "its client has gone"))
 		return computenode.Unwanted, false
@@ -222,6 +229,9 @@
 	switch step.Type {
 	case computenode.Start:
 		left := max(time.Until(a.until).Milliseconds(), 1)
+		if mutated(fullDeadline) {
+			left += a.q.Until.Sub(a.begun).Milliseconds()
+		}
 		return c.call(step.Wait, "POST", "/x", a.q.Body, "X-Ticket", a.q.Ticket,
 			"X-Queue", a.q.Class, "X-Max-Ms", strconv.FormatInt(left, 10), "X-Nonce", a.q.Nonce,
 			"Grant-Mb", a.grant, "Rank", a.rank)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -130,7 +130,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) { // the last call
 			// Danger: closed at once, the listener would reset connections whose requests are there; and past
 			// its deadline, which a busy core may bring before the look, Accept doesn't look for them.
-			if empty++; empty > lastLooks {
+			if empty++; empty > lastLooks || mutated(noLastCall) {
 				return
 			}
 			f.lastCallFor(lastLook)
@@ -363,7 +363,7 @@
 		switch {
 		case err != nil:
 			return err
-		case transient(got):
+		case transient(got) && !mutated(brittleLook):
 			// Danger: it tells nothing. Waiting for the poller instead, which tells only of what is new,
 			// would leave what is there unread for good.
 			time.Sleep(lookAgain)
@@ -377,6 +377,9 @@
 
 // unread reports whether something is there to be read, without waiting. Where the look fails it may be so.
 func (c *client) unread() (some bool) {
+	if mutated(noUnreadLook) {
+		return false
+	}
 	c.raw.Control(func(fd uintptr) {
 		n, err := c.f.s.system.peek(fd)
 		some = err == nil && n > 0 || transient(err)
@@ -456,6 +459,10 @@
 
 // shut ends the writing side, and the reading side some time later. c.mu is held.
 func (c *client) shut() {
+	if mutated(noLinger) {
+		c.net.Close()
+		return
+	}
 	c.net.CloseWrite()
 	c.net.SetReadDeadline(time.Now().Add(lingerFor))
 }
@@ -476,6 +483,9 @@
 	s, m := c.f.s, c.f.state.Read(frame)
 	c.f.mu.Lock()
 	v := c.f.state.Message(time.Now(), c.id, m)
+	if mutated(noOrder) {
+		v.Event.Key = ""
+	}
 	if v.Taken != nil { // posted under the lock: what its client takes back at once must come after it
 		s.acts.take(v.Taken, v.Event.Key)
 		s.loop.Post(v.Event)
@@ -488,7 +498,7 @@
 	if v.Say != nil {
 		c.send(v.Say, 1)
 	}
-	if v.Back != nil {
+	if v.Back != nil && !mutated(lostCancel) {
 		s.clientGone(v.Back, "cancelled")
 	}
 	return !v.End
@@ -592,6 +602,9 @@
 	c := f.conns[to.Conn]
 	f.mu.Unlock()
 	if ok {
+		if mutated(secondAnswer) && what == eventlog.Answered {
+			c.send(message(to.Seq), 0)
+		}
 		f.s.acts.end(q)
 		f.s.events.Add(eventlog.Event{What: what, Request: q.Ticket, Attempt: -1, Why: why})
 		c.send(message(to.Seq), 1)
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -176,7 +176,9 @@
 			}
 			longest = min(longest, waitMost)
 			// Danger: the platform kills what is still there, and with it queries that nobody then answers.
-			s.loop.Post(cresspass.Event{Type: cresspass.Ending, TimeLeft: longest + answersBy})
+			if !mutated(noEnding) {
+				s.loop.Post(cresspass.Event{Type: cresspass.Ending, TimeLeft: longest + answersBy})
+			}
 			lastCall, end = time.After(newAfterTerm), time.After(longest+endSlack)
 			last = time.After(max(longest+lastWords, newAfterTerm))
 			sweep.Reset(sweepEvery / 10)
@@ -194,6 +196,9 @@
 				}
 			}
 		case <-last:
+			if mutated(noEnding) {
+				continue
+			}
 			s.changed("answers what is left")
 			s.front.finish()
 		case <-look.C:
@@ -215,7 +220,9 @@
 	}
 	s.log.Info("configuration read again", "board", cfg.Board)
 	s.changed("configuration read again, discovery at " + cfg.Board)
-	s.watch.move(cfg.Board)
+	if !mutated(deafToReload) {
+		s.watch.move(cfg.Board)
+	}
 	now, then := cfg.Module, s.cfg.Module
 	now.Seed = then.Seed // new in each file
 	if cfg.Listen != s.cfg.Listen || cfg.Limits != s.cfg.Limits || !reflect.DeepEqual(now, then) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -98,6 +98,16 @@
 	}
 }
 
+// startsByWall is what the mutant makes of starts: their age by the wall clock of the moment.
+func (w *watcher) startsByWall(engines []cresspass.EngineInfo) {
+	ahead := time.Until(w.s.system.wall())
+	for i := range engines {
+		if engines[i].Started > 0 {
+			engines[i].Started = max(engines[i].Started-ahead, 1)
+		}
+	}
+}
+
 // last is the number of the last event.
 func (w *watcher) last() uint64 {
 	w.mu.Lock()
@@ -336,6 +346,9 @@
 func (w *watcher) take(ev discovery.Event) error {
 	w.mu.Lock()
 	list, v, err := w.follower.Take(ev)
+	if mutated(wallClock) {
+		w.startsByWall(list.Engines)
+	}
 	gone := w.follower.Gone()
 	// Danger: posted under the lock, or lists of two calls could cross.
 	if err == nil && v == discovery.Taken {
--- a/internal/soak/board.go
+++ b/internal/soak/board.go
@@ -34,8 +34,8 @@
 	Pool *pool `json:"pool"`
 }
 
-// board stands in for discovery, as one dispatcher sees it: events numbered from its start, told at one of two
-// addresses.
+// board stands in for discovery, as one dispatcher sees it: events numbered from its start, told at one of
+// two addresses.
 type board struct {
 	mu      sync.Mutex
 	events  []notice
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -273,8 +273,8 @@
 	})
 }
 
-// over ends a connection that the dispatcher closed. A request that crossed the close is sent again, once, on a
-// new connection.
+// over ends a connection that the dispatcher closed. A request that crossed the close is sent again, once,
+// on a new connection.
 func (c *clientConn) over() {
 	now := time.Now()
 	c.mu.Lock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -199,8 +199,8 @@
 	}
 }
 
-// drained enters when a dispatcher counts as told of a drain: at once, or some time after the trouble that its
-// discovery is in.
+// drained enters when a dispatcher counts as told of a drain: at once, or some time after the trouble that
+// its discovery is in.
 func (f *fleet) drained(d *dispatcher, generation string) {
 	told, life := time.Now(), d.currentLife()
 	if !d.board.inTrouble(told.Add(-troubleTold)) {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -45,8 +45,8 @@
 	return class{name: name, effect: unsafe}
 }
 
-// Of the settings that the fleet is given, and the slack with which the platform's page judges. measured is what
-// this machine may take between an act and its entry here.
+// Of the settings that the fleet is given, and the slack with which the platform's page judges. measured
+// is what this machine may take between an act and its entry here.
 const (
 	drainGrace   = 2 * time.Second
 	orderRest    = 100 * time.Millisecond
@@ -323,8 +323,8 @@
 	return false, time.Time{}
 }
 
-// judgeBudget finds further attempts beyond what the requests of the time before allow. Either edge of the time
-// may be read a little later or earlier.
+// judgeBudget finds further attempts beyond what the requests of the time before allow. Either edge of the
+// time may be read a little later or earlier.
 func (o *oracle) judgeBudget() {
 	type life struct{ dispatcher, life int }
 	taken, further := map[life][]time.Time{}, map[life][]post{}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -1,6 +1,6 @@
-// Package soak plays a fleet of real dispatcher processes among stand-ins, through faulty links, and judges the
-// rules from what was seen on the links. A seed gives the whole plan of troubles; two or three overlap on
-// purpose. The judge reads the protocol by itself and shares no code with the dispatcher.
+// Package soak plays a fleet of real dispatcher processes among stand-ins, through faulty links, and
+// judges the rules from what was seen on the links. A seed gives the whole plan of troubles; two or three
+// overlap on purpose. The judge reads the protocol by itself and shares no code with the dispatcher.
 package soak
 
 import (
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -18,8 +18,8 @@
 	linkReset      // connections are reset when something comes on them
 )
 
-// proxy is a link: it takes connections on a port of its own and passes bytes on as its mode says. tap sees what
-// the near side writes, at once, whatever the mode does with it then.
+// proxy is a link: it takes connections on a port of its own and passes bytes on as its mode says. tap
+// sees what the near side writes, at once, whatever the mode does with it then.
 type proxy struct {
 	ln     net.Listener
 	target string
