--- a/internal/platform/stale_test.go
+++ b/internal/platform/stale_test.go
@@ -29,8 +29,8 @@
 	return r
 }
 
-// budget is settings by which each request allows one further attempt for so long after it was taken.
-func budget(lookBack time.Duration) string {
+// budgetOf is settings by which each request allows one further attempt for so long after it was taken.
+func budgetOf(lookBack time.Duration) string {
 	return fmt.Sprintf(`"grace-to-answer-us":5000,"free-resends":0,"further-ratio":1,"look-back-us":%d`,
 		lookBack.Microseconds())
 }
@@ -41,7 +41,7 @@
 // descriptor until the requests that allowed it have left the window, is not begun.
 func TestBudgetWhenBegun(t *testing.T) {
 	for lookBack, want := range map[time.Duration]int{60 * time.Millisecond: 1, 5 * time.Second: 2} {
-		r := newRigWith(t, 256, noBudget, budget(lookBack))
+		r := newRigWith(t, 256, noBudget, budgetOf(lookBack))
 		var long []string
 		for i := range nodesLeast {
 			long = append(long, ticket(i+1))
@@ -78,7 +78,7 @@
 
 // TestStrangersRaiseNoBudget: requests that are not served, as those of strangers, allow no further attempts.
 func TestStrangersRaiseNoBudget(t *testing.T) {
-	r := newRigWith(t, 256, noBudget, budget(time.Minute))
+	r := newRigWith(t, 256, noBudget, budgetOf(time.Minute))
 	r.node.set(func(w http.ResponseWriter, _ *http.Request, call, _ string) bool {
 		if call == "POST" {
 			w.WriteHeader(500)
