Failing test: a dispatcher ends before its compute nodes know what was given up

A client cancels and closes during the shutdown; the DELETE takes a while; the process ends without it, and the compute node runs the query on for up to 2 s. The next life of the same name knows nothing of it and sends the next query of its key.

--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"cresspass"
 	"cresspass/internal/signals"
+	"cresspass/internal/thrift"
 )
 
 // withSystem has the dispatchers that a test starts make some system calls otherwise.
@@ -203,3 +205,35 @@
 		})
 	}
 }
+
+// TestEndWaitsForGiveUps: a dispatcher that ends does not leave before its compute nodes know what was given
+// up: the next life of its name would send the next query of a key beside one that runs on.
+func TestEndWaitsForGiveUps(t *testing.T) {
+	r := newRig(t, 256)
+	a := r.dial()
+	seq := r.held(a, 1)
+	usual := r.node.answer
+	given := make(chan struct{})
+	tell := sync.OnceFunc(func() { close(given) })
+	r.node.set(func(w http.ResponseWriter, q *http.Request, call, id string) bool {
+		if call == "DELETE" {
+			time.Sleep(newAfterTerm + 700*time.Millisecond) // longer than the rest of the end takes
+			tell()
+			return false
+		}
+		return usual(w, q, call, id)
+	})
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- r.live(signals) }()
+	signals <- syscall.SIGTERM
+	a.net.Write(thrift.AppendCancel(nil, 99, seq))
+	a.net.Close()
+	select {
+	case <-given:
+		<-ended
+	case <-ended:
+		t.Error("it ended before the query was given up")
+	case <-time.After(waitMost + endSlack + time.Second):
+		t.Error("it does not end")
+	}
+}
