A dispatcher that ends waits until its attempts are over, within its time

Seen: TestEndWaitsForGiveUps. Line at fault: service.go, live: the end was reached when no client and no request was left, whatever attempts were still being given up. Change: it also waits for attempts, no longer than the end of the shutdown.

--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -190,7 +190,9 @@
 			s.pool.sweep()
 			if end != nil && lastCall == nil {
 				s.front.closeIdle()
-				if s.front.open() == 0 && s.front.size() == 0 {
+				// Danger: a query that was given up runs on until its compute node knows, and the next life
+				// of this name would send the next of its key beside it.
+				if s.front.open() == 0 && s.front.size() == 0 && s.attemptsOut() == 0 {
 					s.look()
 					return nil
 				}
@@ -210,6 +212,13 @@
 	}
 }
 
+// attemptsOut is how many attempts have not ended.
+func (s *service) attemptsOut() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.attempts)
+}
+
 // reload reads the configuration again, and reports whether it could be read. Danger: one that can't must not
 // end the dispatcher.
 func (s *service) reload() bool {
