Failing test: a give-up overtakes the start that it is to end

Ruled out: the module (it was told that the attempt had ended), the front (its client had left), the compute node (it answered a give-up of a query that it did not have). Result: TestGiveUpOvertakesStart fails: ended after 1 ms and one give-up.

--- a/internal/computenode/computenode_test.go
+++ b/internal/computenode/computenode_test.go
@@ -240,3 +240,34 @@
 		t.Errorf("100 questions in %v", now-time.Hour)
 	}
 }
+
+// TestGiveUpOvertakesStart: a start of which nothing was heard may yet be on its way when a give-up on another
+// connection is answered; the attempt is over only after one that was sent when no start can be on its way.
+func TestGiveUpOvertakesStart(t *testing.T) {
+	gone := Event{Type: Answered, Answer: &nodehttp.Answer{Status: 204}}
+	stop := Event{Type: Stop, Outcome: cresspass.Cancelled}
+	for name, c := range map[string]struct {
+		first Event
+		waits bool
+	}{
+		"nothing heard":   {Event{Type: Broken}, true},
+		"reset unheard":   {Event{Type: Broken, Reset: true}, true},
+		"start was heard": {Event{Type: Answered, Answer: &nodehttp.Answer{Status: 202}}, false},
+	} {
+		m, now := &Machine{}, time.Hour
+		m.Next(now, Event{Type: Begin})
+		now += 50 * ms
+		m.Next(now, c.first)
+		given := now
+		s := m.Next(now, stop)
+		deletes := 0
+		for ; s.Type == Delete && deletes < 10; deletes++ {
+			now += s.Pause + ms
+			s = m.Next(now, gone)
+		}
+		if took := now - given; s.Type != End || s.Outcome != cresspass.Cancelled || c.waits != (took >= wayMost) ||
+			took > forgotten {
+			t.Errorf("%s: ended %v after %v and %d give-ups", name, s.Type == End, took, deletes)
+		}
+	}
+}
