An attempt of which nothing was heard is given up twice, the second time behind its start

Lines at fault: computenode.go, left: any answered Delete ended the attempt; pool.go, put: a plain close of a connection leaves the system sending a start that was cut off. Change: where no answer has shown that the query came, a Delete ends the attempt only if it is sent 350 ms (the longest way that the dispatcher reckons with) after the start was last on its way; the first goes at once as before. Connections with a call unanswered are reset instead of closed. The same elsewhere: a question that is answered with 'no such query' after a start without an answer is asked 350 ms after it at the earliest, by the time-out of the start; a start broken by a reset is asked about at once, and its bytes went before the reset.

--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -92,6 +92,7 @@
 	reset        bool          // the last call that was written ended with a reset
 	unanswered   bool          // the start broke
 	lost         bool          // the start was not answered, although its process lived on
+	heard        bool          // an answer showed that the query had come to the compute node
 	leaving      bool
 	outcome      cresspass.Outcome // with which it is left
 	bad, quick   int
@@ -116,6 +117,7 @@
 			m.unanswered, m.lost = true, !ev.Reset
 		} else if ev.Type == Answered {
 			m.lost = m.lost || m.unanswered
+			m.heard = m.heard || !m.posted || shows(ev.Answer, len(m.pages))
 		}
 		m.posted, m.asked, m.reset = true, now, ev.Reset
 	}
@@ -233,6 +235,11 @@
 func (m *Machine) left(now time.Duration, ev Event) Step {
 	done := ev.Type == Refused && m.dead() ||
 		ev.Type == Answered && (ev.Answer.Status/100 == 2 || ev.Answer.Status == 500)
+	// Danger: a start of which nothing was heard may be on its way yet, on the connection that it was written
+	// to, and come behind the Delete. It is over only by one that is sent when none can be on its way.
+	if arrived := m.asked + wayMost; done && !m.heard && now < arrived {
+		return Step{Type: Delete, Due: arrived, Wait: patience(0), Until: m.until(), Pause: arrived - now}
+	}
 	if done || now >= m.until() {
 		return Step{Type: End, Outcome: m.outcome}
 	}
@@ -282,6 +289,12 @@
 	return nonsense
 }
 
+// shows reports whether an answer to a question shows that the compute node has the query.
+func shows(r *nodehttp.Answer, page int) bool {
+	meaning := judge(r, page)
+	return meaning == news || meaning == pageGood
+}
+
 // rows reports whether a page holds whole rows of three columns.
 func rows(page []byte) bool {
 	tabs := 0
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -38,6 +38,7 @@
 	in     *bufio.Reader
 	rested time.Time // when its last answer was whole; zero: it is new
 	out    []byte
+	asking bool // a call was written and has no whole answer
 
 	mu   sync.Mutex
 	dead bool
@@ -83,6 +84,7 @@
 		return nil, errUnsure
 	}
 	c.out = nodehttp.AppendRequest(c.out[:0], method, path, c.addr, body, headers...)
+	c.asking = true
 	if n, err := c.net.Write(c.out); err != nil {
 		// Danger: what was written in part may be run, and of that nothing is known; where the system took
 		// not one byte, as on a connection that was closed in this moment, nothing ran.
@@ -92,6 +94,7 @@
 		return nil, err
 	}
 	a, err := nodehttp.Read(c.in)
+	c.asking = err != nil
 	c.rested = time.Now()
 	return a, err
 }
@@ -269,10 +272,19 @@
 		p.rest(c)
 		return
 	}
-	c.net.Close()
+	c.discard()
 	p.do(p.state.Gone(p.limits()))
 }
 
+// discard closes a connection. Danger: after a plain close the system goes on sending what was not taken
+// yet, so that a start which was cut off could come to its compute node after it was given up.
+func (c *nodeConn) discard() {
+	if tcp, ok := c.net.(*net.TCPConn); ok && c.asking {
+		tcp.SetLinger(0)
+	}
+	c.net.Close()
+}
+
 // rest makes a connection idle. p.mu is held.
 func (p *pool) rest(c *nodeConn) {
 	p.idle[c.number] = c
