--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -31,6 +31,7 @@
 	mu     sync.Mutex
 	next   int32
 	open   map[int32]string // tickets
+	done   map[int32]string // tickets that have their answer
 	sent   map[string]time.Time
 	closed bool
 }
@@ -132,7 +133,7 @@
 	if err != nil {
 		return nil
 	}
-	c := &clientConn{d: d, net: n, open: map[int32]string{}, sent: map[string]time.Time{}}
+	c := &clientConn{d: d, net: n, open: map[int32]string{}, done: map[int32]string{}, sent: map[string]time.Time{}}
 	d.track(c, true)
 	go c.read()
 	return c
@@ -264,6 +265,11 @@
 	c.mu.Lock()
 	ticket, ok := c.open[a.seq]
 	delete(c.open, a.seq)
+	if ok {
+		c.done[a.seq] = ticket
+	} else {
+		ticket, ok = c.done[a.seq] // a second answer
+	}
 	c.mu.Unlock()
 	if !ok {
 		return // taken back
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -22,6 +21,7 @@
 	requestsFor = 500 * time.Millisecond
 	endsWithin  = 3700 * time.Millisecond // then it is killed
 	downFor     = 250 * time.Millisecond  // between two lives
+	firstPort   = 15000                   // that dispatchers listen at
 )
 
 // dispatcher is a real dispatcher, life after life at one address, with its links and its discovery.
@@ -57,12 +57,9 @@
 	if err := os.MkdirAll(d.dir, 0o755); err != nil {
 		return nil, err
 	}
-	free, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	d.listen = free.Addr().String()
-	free.Close()
+	// Below the ports that the system gives to connections, on addresses that no other run has at the time.
+	d.listen = fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, 1+os.Getpid()/200%200, 1+index, firstPort+f.run)
+	var err error
 	if d.board, err = newBoard(); err != nil {
 		return nil, err
 	}
@@ -104,7 +101,7 @@
 	settings := d.fleet.settings()
 	data, err := json.Marshal(map[string]any{"name": fmt.Sprintf("d%d", d.index), "listen": d.listen,
 		"seed":   fmt.Sprintf("%016x", d.fleet.plan.Seed*1000+uint64(d.index*100+d.currentLife())),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": 256}, "board": d.board.addr(),
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": d.fleet.plan.Sockets}, "board": d.board.addr(),
 		"known": map[string]any{"rev": len(known), "notices": known}, "settings": settings})
 	if err != nil {
 		return err
@@ -159,7 +156,7 @@
 		d.mu.Unlock()
 		close(ended)
 		if !expected && !d.fleet.closing() {
-			d.fleet.oracle.found("crash", "", "dispatcher %d life %d ended: %v", d.index, life, err)
+			d.fleet.oracle.found("crash", "", "dispatcher %d life %d ended: %v; %s", d.index, life, err, d.lastWords())
 		}
 	}()
 	d.awaitReady(ended)
@@ -366,6 +363,13 @@
 	return lines
 }
 
+// lastWords returns the end of the dispatcher's log.
+func (d *dispatcher) lastWords() string {
+	data, _ := os.ReadFile(filepath.Join(d.dir, "log"))
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
 // logOf returns the dispatcher's own log of a request.
 func (d *dispatcher) logOf(ticket string) (lines []string) {
 	data, _ := os.ReadFile(filepath.Join(d.dir, "log"))
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -60,6 +61,7 @@
 
 // fleet is the dispatchers and all that they talk to.
 type fleet struct {
+	run         int // of this process
 	plan        *Plan
 	program     string
 	mutant      string
@@ -75,11 +77,14 @@
 }
 
 // settleFor is how long after the last request the run goes on, so that each has its answer.
-const settleFor = 5 * time.Second
+const settleFor = 4 * time.Second
+
+// runs counts the runs of this process.
+var runs atomic.Int32
 
 // Run plays a plan.
 func Run(ctx context.Context, c Config) (*Report, error) {
-	f := &fleet{plan: c.Plan, program: c.Program, mutant: c.Mutant, dir: c.Dir, oracle: newOracle(c.Plan.Budget)}
+	f := &fleet{run: int(runs.Add(1)), plan: c.Plan, program: c.Program, mutant: c.Mutant, dir: c.Dir, oracle: newOracle(c.Plan.Budget)}
 	stop := make(chan struct{})
 	for i := range c.Plan.Nodes {
 		n, err := newComputeNode(i, f.oracle, c.Plan.Seed)
@@ -377,7 +382,7 @@
 	if t.Kind == ClockStep {
 		write(map[string]any{"wall_step_ms": t.Step.Milliseconds()})
 	} else {
-		write(map[string]any{"share": 0.2})
+		write(map[string]any{"share": 0.4})
 	}
 	time.Sleep(t.For)
 	if t.Kind == CallsFail {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -81,13 +81,14 @@
 	Nodes       int
 	Rate        float64 // requests a second for each dispatcher
 	Budget      bool    // further attempts are rationed
+	Sockets     int     // descriptors of each dispatcher
 	Troubles    []Trouble
 }
 
 func (p *Plan) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %v\n", p.Seed,
-		p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.For)
+	fmt.Fprintf(&b, "seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %d descriptors, %v\n",
+		p.Seed, p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.Sockets, p.For)
 	for _, t := range p.Troubles {
 		fmt.Fprintf(&b, "  %s\n", t)
 	}
@@ -113,12 +114,15 @@
 	thirdOf               = 0.3
 )
 
+// sockets are the descriptors that a dispatcher may have: with few, calls wait for one another.
+var sockets = []int{48, 56, 80, 256}
+
 // NewPlan draws the plan of a seed.
 func NewPlan(o Options) *Plan {
 	r := rand.New(rand.NewPCG(o.Seed, 0x50a4))
 	p := &Plan{Seed: o.Seed, For: o.For, Dispatchers: o.Dispatchers,
 		Nodes: nodesLeast + r.IntN(nodesMost-nodesLeast+1), Rate: float64(rateLeast + r.IntN(rateMost-rateLeast+1)),
-		Budget: r.IntN(2) == 0}
+		Budget: r.IntN(2) == 0, Sockets: sockets[r.IntN(len(sockets))]}
 	for at := quietFirst; at < o.For-quietLast; {
 		first := draw(r, p, o.Faults, at)
 		p.Troubles = append(p.Troubles, first)
