Failing test: serve sends a write whose client has gone while its engine connected

Ruled out: Core.end, which lets what changes data run to its end on purpose; but here nothing had begun. Result: TestNothingBegunInVain fails in both cases.

--- /dev/null
+++ b/internal/server/begin_test.go
@@ -0,0 +1,92 @@
+package server_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cresspass/internal/roster"
+)
+
+// gate is an engine's address at which connections come up only once it is opened.
+type gate struct {
+	net.Listener
+	came chan struct{} // one for each connection
+	open chan struct{} // closed: they go through
+}
+
+func newGate(t *testing.T, engine string) *gate {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate{ln, make(chan struct{}, 16), make(chan struct{})}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			g.came <- struct{}{}
+			go g.pass(c, engine)
+		}
+	}()
+	return g
+}
+
+func (g *gate) pass(c net.Conn, engine string) {
+	defer c.Close()
+	<-g.open
+	far, err := net.Dial("tcp", engine)
+	if err != nil {
+		return
+	}
+	defer far.Close()
+	go io.Copy(c, far)
+	io.Copy(far, c)
+}
+
+// TestNothingBegunInVain: a statement that waits for its engine's connection is not sent when, meanwhile, its
+// client has gone, or its engine was told to drain and the grace is over; also where it changes data, which
+// once begun runs to its end.
+func TestNothingBegunInVain(t *testing.T) {
+	for name, meanwhile := range map[string]func(t *testing.T, w *waiting){
+		"its client has gone": func(t *testing.T, w *waiting) { w.client.c.Close() },
+		"its engine drains":   func(t *testing.T, w *waiting) { w.drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r, s := raise(t, 1, strings.Replace(settings, `drain_grace = "500ms"`, `drain_grace = "100ms"`, 1))
+			g := newGate(t, r.Engines[0].Addr())
+			r.Change(0, func(e *roster.Engine) { e.Address = g.Addr().String() })
+			eventually(t, "the gate is on the list", func() bool { return s.Lists(g.Addr().String()) })
+			w := &waiting{client: dial(t, s), drain: func() {
+				r.Change(0, func(e *roster.Engine) { e.State = roster.Draining })
+				eventually(t, "the drain is known", func() bool { return !s.Lists(g.Addr().String()) })
+				time.Sleep(200 * time.Millisecond) // the grace is over
+			}}
+			w.client.send(&pgproto3.Query{String: "insert into t select 1"})
+			<-g.came
+			meanwhile(t, w)
+			eventually(t, "the dispatcher knows", func() bool {
+				return name != "its client has gone" || s.Clients() == 0
+			})
+			close(g.open)
+			eventually(t, "nothing is under way", func() bool { return s.Stats().Running == 0 })
+			if runs := r.Engines[0].Runs(); len(runs) != 0 {
+				t.Errorf("%d statements were sent: %+v", len(runs), runs[0])
+			}
+		})
+	}
+}
+
+// waiting is a statement whose engine's connection has not come up.
+type waiting struct {
+	client *raw
+	drain  func()
+}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -215,6 +215,20 @@
 // Listed is closed once an engine list is known, kept or told.
 func (s *Server) Listed() <-chan struct{} { return s.listed }
 
+// Lists reports whether an engine takes new queries by the last list.
+func (s *Server) Lists(address string) bool {
+	l := s.roster.Load()
+	if l == nil {
+		return false
+	}
+	for _, e := range l.Engines {
+		if e.Address == address {
+			return e.State == roster.On
+		}
+	}
+	return false
+}
+
 // Clients is the number of client connections.
 func (s *Server) Clients() int {
 	n := s.front.Clients()
