serve looks again as a statement is written; a withdrawn one keeps its session's connection

Seen: TestNothingBegunInVain: an INSERT was sent and done after its client had gone, and one to an engine whose drain's grace was over. By reading, and by TestWithdrawnBeforeItBegins on the old line: a session's statement withdrawn before it was written put the session's connection among the idle ones, so that another client's statement could run inside its transaction. Lines at fault: conn.go, begin: it asked only whether the attempt had been withdrawn, and Core withdraws none that changes data; c.pool.give(c) whoever held the connection. Change: backend.Attempt.MayBegin is asked as a request is written: client, time, engine's state on the last list (a kept list counts until a live one comes); what does not begin counts as withheld, by the invariant's name, in /health. A connection that a lease holds stays the lease's. Result: both tests pass; tests of backend, server and daemon pass.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -145,9 +145,19 @@
 	}
 	if a.done.Load() { // withdrawn before it was sent
 		c.mu.Unlock()
-		c.pool.give(c)
+		c.release(a)
 		return true
 	}
+	// Danger: since the module decided, the attempt may have waited for this connection, and its client, its
+	// engine or its time may have gone meanwhile.
+	if a.MayBegin != nil {
+		if outcome, ok := a.MayBegin(); !ok {
+			c.mu.Unlock()
+			c.release(a)
+			a.end(Result{Outcome: outcome, Message: "not begun: what was decided no longer held"})
+			return true
+		}
+	}
 	c.skip, c.preparing, c.syncOwed, c.copied, c.copyFailed = 0, "", false, false, false
 	c.gated, c.told, c.foul, c.tags = nil, false, false, nil
 	request := c.request(a)
@@ -161,6 +171,13 @@
 	return true
 }
 
+// release gives back a connection on which nothing was sent; that of a session stays with it.
+func (c *conn) release(a *Attempt) {
+	if a.Lease == nil || a.Lease.held() != c {
+		c.pool.give(c)
+	}
+}
+
 func (c *conn) write(request []byte) {
 	if len(request) > smallWrite {
 		go c.nc.Write(request) // a failure shows in the reading goroutine
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -70,6 +70,10 @@
 	// the connection of a pinned query was lost: ends its session
 	Broken func(sent bool)
 
+	// MayBegin is asked in the moment in which the request is written; where it returns false nothing is, and
+	// the attempt ends with its outcome. nil: it may
+	MayBegin func() (cresspass.Outcome, bool)
+
 	done atomic.Bool
 	conn atomic.Pointer[conn]
 	at   time.Time
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cresspass/internal/config"
+	"cresspass/internal/invariant"
 	"cresspass/internal/life"
 	"cresspass/internal/server"
 	"cresspass/internal/signals"
@@ -257,6 +258,9 @@
 	Refused uint64 `json:"refused"`
 	Failed  uint64 `json:"failed"`
 	Gone    uint64 `json:"gone"`
+
+	Violations map[invariant.Name]uint64 `json:"violations"` // of each invariant; any is a defect
+	Withheld   map[invariant.Name]uint64 `json:"withheld"`   // acts that no longer held when their moment came
 }
 
 // health serves /live (200 while it runs), /ready (200 while it takes clients) and /health (JSON). In a
@@ -266,7 +270,8 @@
 	tell := func() Health {
 		st := d.server.Stats()
 		state := life.State(d.state.Load())
-		return Health{State: state.String(), Ready: state == life.Ready || state == life.Handing,
+		violations, withheld := d.server.Invariants()
+		return Health{Violations: violations, Withheld: withheld, State: state.String(), Ready: state == life.Ready || state == life.Handing,
 			Trouble: d.server.Trouble(),
 			Clients: d.server.Clients(), Open: st.Open, Taken: st.Taken, Served: st.Served,
 			Refused: st.Refused,
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,6 +24,7 @@
 	"cresspass/internal/front"
 	"cresspass/internal/frontend"
 	"cresspass/internal/guard"
+	"cresspass/internal/invariant"
 	"cresspass/internal/kept"
 	"cresspass/internal/knowledge"
 	"cresspass/internal/orphan"
@@ -44,6 +46,7 @@
 	loop     *dispatch.Loop
 	pool     *backend.Pool
 
+	invariants *invariant.Counter
 	startsLock sync.Mutex
 	starts     *startclock.Clock // of engines; under startsLock
 
@@ -127,6 +130,7 @@
 	s := &Server{cfg: cfg, log: log, inForce: cfg, guard: guard.New(limits(cfg)), clock: dispatch.Monotonic(),
 		addr:    ln.Addr().String(),
 		queries: map[cresspass.QueryID]*query{}, shapes: newShapes(4096), listed: make(chan struct{})}
+	s.invariants = invariant.NewCounter(log)
 	s.starts = startclock.New(startclock.Every, time.Now(), s.clock())
 	s.classify.Store(classify.New(cfg))
 	s.life = fmt.Sprintf("cresspass-%d-%08x", cfg.Module.Ordinal, rand.Uint32())
@@ -305,6 +309,7 @@
 	default:
 		s.log.Info("kept engine list", "version", l.Version, "engines", len(l.Engines), "age",
 			time.Since(l.At).Round(time.Second))
+		s.roster.Store(l)
 		s.post(cresspass.ListCached, l)
 	}
 }
@@ -464,6 +469,32 @@
 	}
 }
 
+// mayBegin looks again, in the moment in which an attempt is written: at its client, its time, and whether
+// its engine still takes new work. A session's statements go where it is kept, on a draining engine too.
+func (s *Server) mayBegin(q *query, engine cresspass.EngineID, latest time.Time) (cresspass.Outcome, bool) {
+	why, request := invariant.Verdict{Kind: invariant.Stale}, strconv.FormatUint(uint64(q.id), 10)
+	select {
+	case <-q.Answer.Ended():
+		why.Name = invariant.SentAfterEnd
+		return cresspass.Moot, s.invariants.Count(why, request)
+	default:
+	}
+	switch {
+	case !time.Now().Before(latest):
+		why.Name = invariant.SentTooLate
+	case !q.Ask.Bound && !s.Lists(string(engine)):
+		why.Name = invariant.SentToDrained
+	default:
+		return 0, true
+	}
+	return cresspass.Full, s.invariants.Count(why, request)
+}
+
+// Invariants returns how often each was violated, and how often an act was withheld that had been lawful.
+func (s *Server) Invariants() (violated, withheld map[invariant.Name]uint64) {
+	return s.invariants.Violations(), s.invariants.Withheld()
+}
+
 // last is the last error seen for a query.
 func (s *Server) last(q *query) string {
 	s.mu.Lock()
@@ -493,6 +524,8 @@
 		s.loop.Post(cresspass.Event{Type: cresspass.Progress, Query: id, Attempt: attempt, Engine: engine,
 			Note: note, Value: v})
 	}
+	latest := time.Now().Add(o.Within)
+	a.MayBegin = func() (cresspass.Outcome, bool) { return s.mayBegin(q, engine, latest) }
 	sent, durable := s.sending(q, engine)
 	a.Ended = func(r backend.Result) {
 		s.sentEnded(sent, r)
