--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -125,6 +125,7 @@
 	class              class
 	limit              time.Duration
 	again              bool // it crossed a close before
+	stranger           bool
 }
 
 // connect opens a connection to the dispatcher; nil: it takes none.
@@ -174,6 +175,7 @@
 	life := c.d.currentLife()
 	c.d.fleet.oracle.change(r.ticket, func(a *asked) {
 		a.class, a.key, a.dispatcher, a.life, a.limit = r.class.name, r.key, c.d.index, life, r.limit
+		a.stranger = r.stranger
 		a.sent = time.Now()
 	})
 	c.d.remember(r)
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -337,6 +337,8 @@
 		}
 	case ClientsIdle:
 		f.idleClients(t, d)
+	case Strangers:
+		f.strangers(t, d)
 	case ClockStep, CallsFail:
 		f.fault(t, d)
 	}
@@ -371,6 +373,23 @@
 	}
 }
 
+// strangers ask and take back at once, for a while.
+func (f *fleet) strangers(t Trouble, d *dispatcher) {
+	random := rand.New(rand.NewPCG(f.plan.Seed, uint64(t.At)))
+	for until := time.Now().Add(t.For); time.Now().Before(until) && d.takesNew(); time.Sleep(5 * time.Millisecond) {
+		c := d.connect()
+		if c == nil {
+			return
+		}
+		for range openMost {
+			c.send(request{ticket: fmt.Sprintf("%016x", random.Uint64()), class: classes[0], limit: time.Second,
+				stranger: true})
+		}
+		c.cancelAll()
+		c.leave(false)
+	}
+}
+
 // fault has calls of the system fail inside a dispatcher that was built for it, or its wall clock step.
 func (f *fleet) fault(t Trouble, d *dispatcher) {
 	write := func(v map[string]any) {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -54,8 +54,8 @@
 	afterClient  = 100 * time.Millisecond
 	deadlineMore = 150 * time.Millisecond
 	measured     = 60 * time.Millisecond
-	budgetFree   = 2.0
-	budgetShare  = 0.1
+	budgetFree   = 1.0
+	budgetShare  = 0.04
 	budgetOver   = 4 * time.Second
 	coldFrom     = 0.3
 	coldFor      = 6 * time.Second
@@ -109,6 +109,7 @@
 	gone               time.Time // its client cancelled or closed; zero: it waits
 	ended              time.Time // its connection ended without an answer
 	excused            string    // why no answer is owed
+	stranger           bool      // it raises no budget
 	posts              []post
 	outs               []interval
 	made               []string
@@ -330,7 +331,7 @@
 	taken, further := map[life][]time.Time{}, map[life][]post{}
 	for _, a := range o.requests {
 		at := life{a.dispatcher, a.life}
-		if !a.sent.IsZero() {
+		if !a.sent.IsZero() && !a.stranger {
 			taken[at] = append(taken[at], a.sent)
 		}
 		sort.Slice(a.posts, func(i, j int) bool { return a.posts[i].first.Before(a.posts[j].first) })
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -34,6 +34,7 @@
 	ClientsLeave Kind = "clients-leave"  // all its clients close, with requests open
 	ClientsTake  Kind = "clients-cancel" // all open requests are taken back
 	ClientsIdle  Kind = "clients-idle"   // many connections that say nothing
+	Strangers    Kind = "strangers"      // ask much and take it back, and count for nothing
 	NodeDrain    Kind = "node-drain"     // drains, leaves, and another comes at its address
 	NodeCrash    Kind = "node-crash"     // and comes back cold
 	NodeHang     Kind = "node-hang"
@@ -47,7 +48,7 @@
 var (
 	ofDispatcher = []Kind{Terminate, Kill, Reload, ReloadBurst, DiscDown, DiscMute, DiscSlow, DiscTorn, LinkDelay,
 		LinkCut, LinkBytes, LinkReset, LinkForget, ClientDelay, ClientBytes, ClientsLeave, ClientsTake,
-		ClientsIdle}
+		ClientsIdle, Strangers}
 	ofNode  = []Kind{NodeDrain, NodeCrash, NodeHang, NodeFull, NodeErrors, NodeTwice}
 	ofFault = []Kind{ClockStep, CallsFail} // these need the build for the soak
 )
