Failing tests: a start while the machine fails, a configuration readable only later

Need: reproduction. Result: ENOBUFS, ENFILE or an address still taken at listen ends the process with 1 (a failure to start); a configuration that can't be read for 2.6 s after SIGHUP is never read, while the old discovery tells nothing more.

--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -237,3 +237,44 @@
 		t.Error("it does not end")
 	}
 }
+
+// TestStartsWhileTheMachineFails: a socket or an address that is not to be had for a moment delays a start, and
+// does not end it; an address that stays taken does.
+func TestStartsWhileTheMachineFails(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENFILE, syscall.EADDRINUSE} {
+		var fails atomic.Int32
+		fails.Store(3)
+		withSystem(t, func(s *system) {
+			listen := s.listen
+			s.listen = func(addr string) (net.Listener, error) {
+				if fails.Add(-1) >= 0 {
+					return nil, &net.OpError{Op: "listen", Err: os.NewSyscallError("socket", errno)}
+				}
+				return listen(addr)
+			}
+		})
+		newRig(t, 256).dial().served(1, 1)
+	}
+}
+
+// TestConfigurationReadAtLast: a new configuration that can't be read for longer than a file is half written is
+// read when it can be.
+func TestConfigurationReadAtLast(t *testing.T) {
+	r := newRig(t, 256)
+	moved := newNotices(t)
+	moved.add(true, "s-1", address(r.node.Server), "up")
+	whole := r.config(address(moved.Server))
+	if err := os.Remove(r.path); err != nil {
+		t.Fatal(err)
+	}
+	signals, ended := make(chan os.Signal, 4), make(chan error, 1)
+	go func() { ended <- r.live(signals) }()
+	signals <- syscall.SIGHUP
+	time.Sleep((reloadTries + 3) * reloadAgain)
+	if err := os.WriteFile(r.path, whole, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	within(t, "the new board is asked", func() bool { return len(moved.asked()) > 0 })
+	signals <- syscall.SIGTERM
+	<-ended
+}
--- a/internal/platform/faults.go
+++ b/internal/platform/faults.go
@@ -68,6 +68,12 @@
 			}
 			return real.dial(ctx, timeout, addr)
 		},
+		listen: func(addr string) (net.Listener, error) {
+			if err := fails(syscall.ENOBUFS, syscall.ENFILE, syscall.EADDRINUSE); err != nil {
+				return nil, &net.OpError{Op: "listen", Net: "tcp", Err: os.NewSyscallError("socket", err)}
+			}
+			return real.listen(addr)
+		},
 		accept: func(ln *net.TCPListener) (*net.TCPConn, error) {
 			if err := fails(syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENFILE, syscall.ENETDOWN); err != nil {
 				return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -124,7 +124,7 @@
 			s.loop.Post(ev)
 		}
 	}
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := s.system.listen(cfg.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("platform: %w", err)
 	}
--- a/internal/platform/system.go
+++ b/internal/platform/system.go
@@ -12,6 +12,7 @@
 // build for the fault soak put others in their place.
 type system struct {
 	dial   func(ctx context.Context, timeout time.Duration, addr string) (net.Conn, error)
+	listen func(addr string) (net.Listener, error)
 	accept func(ln *net.TCPListener) (*net.TCPConn, error)
 	peek   func(fd uintptr) (int, error)
 	wall   func() time.Time
@@ -26,6 +27,7 @@
 			d := net.Dialer{Timeout: timeout, KeepAlive: -1}
 			return d.DialContext(ctx, "tcp", addr)
 		},
+		listen: func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) },
 		accept: (*net.TCPListener).AcceptTCP,
 		peek:   peek,
 		wall:   time.Now,
--- a/rules_test.go
+++ b/rules_test.go
@@ -94,7 +94,8 @@
 	want(t, b.at(ms, Event{Type: EngineList, Listing: ListFull, Engines: []EngineInfo{std("e1")}}))
 }
 
-// TestRule1AnswersBeforeTheEnd: one that is told when it ends answers all before, those it takes meanwhile as well.
+// TestRule1AnswersBeforeTheEnd: one that is told when it ends answers all before, those it takes meanwhile
+// as well.
 func TestRule1AnswersBeforeTheEnd(t *testing.T) {
 	b := newBench(t, testConfig(), std("e1"))
 	want(t, b.ask(1, "short", ""), Send)
@@ -187,6 +188,34 @@
 	}
 }
 
+// TestRule4RationHoldsForAMoment: a send to a cold engine must begin within half of its ration's window,
+// one to a warm engine within its client's time only.
+func TestRule4RationHoldsForAMoment(t *testing.T) {
+	cfg := testConfig()
+	cold, warm := std("e1"), std("e2")
+	cold.Started = time.Hour - time.Second
+	b := newBench(t, cfg, cold, warm)
+	seen := map[EngineID]bool{}
+	for i := range 50 {
+		for _, a := range b.ask(QueryID(i+1), "short", "") {
+			if a.Type != Send {
+				continue
+			}
+			seen[a.Engine] = true
+			want := time.Duration(0)
+			if a.Engine == cold.ID {
+				want = cfg.Rules.ColdWindow / 2
+			}
+			if a.Within != want {
+				t.Fatalf("a send to %s holds for %v, want %v", a.Engine, a.Within, want)
+			}
+		}
+	}
+	if len(seen) != 2 {
+		t.Errorf("sends went to %v alone", seen)
+	}
+}
+
 func TestRule5OneAtATimeAndRest(t *testing.T) {
 	b := newBench(t, testConfig(), std("e1"), std("e2"))
 	want(t, b.ask(1, "load", "k"), Send)
