--- a/internal/startclock/startclock.go
+++ b/internal/startclock/startclock.go
@@ -12,11 +12,11 @@
 // Clock converts starts. It is for one goroutine at a time.
 //
 // The wall clock is read once, when the Clock is made; from then on only monotonic time counts, so a step
-// changes nothing. A clock that was wrong already at that moment shows in the ages that it gives: no node
-// can be told before it started, so the least age ever seen bounds the error from above. Taking that bound
-// for the error makes a node look younger than it is by the time that the quickest news took, never older.
-// That holds where only late starts are told (Late); where each node's start is told, however long ago,
-// the least age may be a year, and only a start that lies ahead shows an error.
+// changes nothing. A clock that was wrong already at that moment shows in the ages that it gives. No node
+// can be told before it started, so a start that lies ahead shows how far the clock is behind at least.
+// Where only late starts are told (Late), one that is told first when it is very old shows that the clock
+// is ahead; the least age is then taken for the error, which makes a node look younger than it is, never
+// older. An error of seconds ahead is not told from news that come late.
 type Clock struct {
 	zero   time.Time     // wall clock...
 	at     time.Duration // ...at this monotonic time
@@ -35,6 +35,10 @@
 	Every               // of every node
 )
 
+// aheadLeast is the least age of all late starts from which it is the clock that is wrong: news of a start
+// do not take so long.
+const aheadLeast = 10 * time.Minute
+
 // aheadMost is how far ahead of the wall clock a start may lie to tell anything of that clock. What lies
 // further ahead is no start that a clock could show, and counts as now.
 const aheadMost = 24 * time.Hour
@@ -75,10 +79,10 @@
 
 // error is how far the wall clock is taken to be ahead; negative: behind.
 func (c *Clock) error() time.Duration {
-	if c.kind == Every {
-		return min(c.least, 0)
+	if c.least < 0 || c.kind == Late && c.least > aheadLeast {
+		return c.least
 	}
-	return c.least
+	return 0
 }
 
 // Forget drops a node that has left.
