--- a/internal/state/fault_test.go
+++ b/internal/state/fault_test.go
@@ -139,3 +139,39 @@
 		}
 	}
 }
+
+// TestOpensOnAFailingDisk: a folder whose disk takes nothing yet is opened all the same, with what it holds, and
+// the disk has all of it once it is well.
+func TestOpensOnAFailingDisk(t *testing.T) {
+	dir := t.TempDir()
+	l, _, _ := openLog(t, dir)
+	if err := l.Append([]Record{Sent(load(1, t0))}); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	fails := 3
+	newFile = func(path string) (File, error) {
+		f, err := create(path)
+		if fails--; err == nil && fails >= 0 {
+			return &faulty{File: f, writes: []error{syscall.ENOSPC}}, nil
+		}
+		return f, err
+	}
+	defer func() { newFile = create }()
+	s, book, err := OpenStore(dir, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if open := book.Open(Instant{Wall: t0}); len(open) != 1 {
+		t.Errorf("%d loads are remembered, want 1", len(open))
+	}
+	<-s.PutDurable(Sent(load(2, t0)))
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	l, records, _ := openLog(t, dir)
+	defer l.Close()
+	if len(records) != 2 {
+		t.Errorf("%d records, want 2", len(records))
+	}
+}
