serve starts while its disk fails, and writes its state when the disk is well

Line at fault: log.go, Open: its first rewriting had to succeed. Change: the old file stays, nothing is appended until a rewriting succeeds, and the store tries that until it does.

--- a/internal/state/log.go
+++ b/internal/state/log.go
@@ -56,6 +56,8 @@
 	ErrForm = errors.New("state: the file has another form")
 	// ErrHeld is the kind of error for a folder that another process holds.
 	ErrHeld = errors.New("state: another process holds the folder")
+
+	errUnwritten = errors.New("state: the log was not rewritten since it was opened")
 )
 
 // read returns the records up to the first that cannot be believed, and how many bytes they take.
@@ -132,10 +134,10 @@
 			note(fmt.Sprintf("%s: the last %d bytes are not believed", l.path, len(b)-good))
 		}
 	}
-	// Always rewritten: what is appended must not stand behind bytes that were not believed.
+	// Always rewritten: what is appended must not stand behind bytes that were not believed. Where the disk
+	// does not take it yet, the old file stays as it is, and nothing is appended until a rewriting succeeds.
 	if err := l.Rewrite(records); err != nil {
-		lock.Close()
-		return nil, nil, err
+		note(fmt.Sprintf("%s is not written yet: %v", l.path, err))
 	}
 	return l, records, nil
 }
@@ -160,6 +162,9 @@
 // Append adds records and makes them durable. After an error the log holds what it held before, and the next
 // call begins by cutting off what the failed one may have left.
 func (l *Log) Append(records []Record) error {
+	if l.f == nil {
+		return errUnwritten
+	}
 	// Danger: behind half a record nothing would be read, and bytes whose sync failed may be anything.
 	if l.torn {
 		if err := l.f.Truncate(l.size); err != nil {
@@ -221,4 +226,12 @@
 }
 
 // Close closes the log and lets go of the folder.
-func (l *Log) Close() error { return errors.Join(l.f.Close(), l.lock.Close()) }
+func (l *Log) Close() error {
+	if l.f == nil {
+		return l.lock.Close()
+	}
+	return errors.Join(l.f.Close(), l.lock.Close())
+}
+
+// Unwritten reports whether the log could not be written since it was opened.
+func (l *Log) Unwritten() bool { return l.f == nil }
--- a/internal/state/store.go
+++ b/internal/state/store.go
@@ -60,7 +60,7 @@
 	mine := NewBook()
 	mine.Take(records)
 	s := &Store{log: l, book: mine, slog: logger, queue: make(chan entry, queueMost),
-		done: make(chan struct{})}
+		done: make(chan struct{}), whole: l.Unwritten()}
 	go s.run()
 	return s, book, nil
 }
