--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -233,21 +233,18 @@
 	case <-q.Context().Done():
 		return
 	}
-	n.mu.Lock()
-	good := r.good
-	n.mu.Unlock()
-	if !good {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
 	n.page(w, r, 0)
 }
 
-// page writes a page of a result.
+// page writes a page of a result, or that there is none.
 func (n *computeNode) page(w http.ResponseWriter, r *run, page int) {
 	n.mu.Lock()
-	twice := n.twice
+	twice, good := n.twice, r.good
 	n.mu.Unlock()
+	if !good {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	if page == 0 {
 		w.Header().Set("Page-Count", fmt.Sprint(len(r.pages)))
 	} else {
@@ -286,13 +283,6 @@
 	case page == 0:
 		n.wait(w, q, ticket, r)
 	default:
-		n.mu.Lock()
-		good := r.good
-		n.mu.Unlock()
-		if !good {
-			w.WriteHeader(http.StatusInternalServerError)
-			return
-		}
 		n.page(w, r, page)
 	}
 }
