--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -350,7 +350,13 @@
 		f.idleClients(t, d)
 	case Strangers:
 		f.strangers(t, d)
-	case ClockStep, CallsFail:
+	case ClockStep: // of all machines alike
+		var all sync.WaitGroup
+		for _, d := range f.dispatchers {
+			all.Go(func() { f.fault(t, d) })
+		}
+		all.Wait()
+	case CallsFail:
 		f.fault(t, d)
 	}
 }
@@ -441,6 +447,14 @@
 		n.crash()
 		time.Sleep(t.For / 2)
 		f.comeBack(n)
+	case NodesHang:
+		var all sync.WaitGroup
+		for _, n := range f.nodes {
+			one := t
+			one.Kind = NodeHang
+			all.Go(func() { f.nodeTrouble(one, n) })
+		}
+		all.Wait()
 	case NodeHang:
 		hung := make(chan struct{})
 		n.set(func(n *computeNode) {
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -59,7 +59,7 @@
 	budgetOver   = 4 * time.Second
 	coldFrom     = 0.3
 	coldFor      = 6 * time.Second
-	coldMultiple = 2.5
+	coldMultiple = 0.6
 	coldWindow   = time.Second
 	nodeCores    = 4.0
 	troubleTold  = 4 * time.Second // after discovery's trouble, what it would have told counts as told
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,7 @@
 	NodeDrain    Kind = "node-drain"     // drains, leaves, and another comes at its address
 	NodeCrash    Kind = "node-crash"     // and comes back cold
 	NodeHang     Kind = "node-hang"
+	NodesHang    Kind = "nodes-hang" // all of them, for longer than a shutdown takes
 	NodeFull     Kind = "node-full"
 	NodeErrors   Kind = "node-errors"
 	NodeTwice    Kind = "node-twice" // answers come twice
@@ -49,7 +50,7 @@
 	ofDispatcher = []Kind{Terminate, Terminate, Terminate, Kill, Reload, ReloadBurst, DiscDown, DiscMute, DiscSlow, DiscTorn, LinkDelay,
 		LinkCut, LinkBytes, LinkReset, LinkForget, ClientDelay, ClientBytes, ClientsLeave, ClientsTake,
 		ClientsIdle, Strangers}
-	ofNode  = []Kind{NodeDrain, NodeCrash, NodeHang, NodeFull, NodeErrors, NodeTwice}
+	ofNode  = []Kind{NodeDrain, NodeCrash, NodeHang, NodesHang, NodeFull, NodeErrors, NodeTwice}
 	ofFault = []Kind{ClockStep, CallsFail} // these need the build for the soak
 )
 
@@ -155,8 +156,11 @@
 		t.Step = steps[r.IntN(len(steps))]
 	}
 	t.For = min(t.For, 6*time.Second)
-	if t.Kind == NodeHang { // some outlast a whole shutdown
-		t.For *= 3
+	switch t.Kind {
+	case NodesHang:
+		t.For = 4*time.Second + t.For/4
+	case Strangers, NodeErrors:
+		t.For += 2 * time.Second
 	}
 	return t
 }
@@ -166,6 +170,9 @@
 	// The first moments of a trouble are those in which it crosses the most.
 	within := min(first.For, time.Duration(r.ExpFloat64()*float64(250*time.Millisecond)))
 	t := draw(r, p, faults, first.At+within)
+	if first.Kind == NodesHang {
+		t.Kind, t.Dispatcher = Terminate, r.IntN(p.Dispatchers)
+	}
 	if r.IntN(4) > 0 {
 		t.Node = first.Node
 		if t.Dispatcher >= 0 && first.Dispatcher >= 0 {
