--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -278,3 +279,48 @@
 	signals <- syscall.SIGTERM
 	<-ended
 }
+
+// TestReadLate: a request that waited unread, behind accepts that fail, is told to its compute node with the time
+// that its client has left by then, and 0.15 s more at most; one that comes after is told all of its time.
+func TestReadLate(t *testing.T) {
+	const waits = 600 * time.Millisecond
+	var failing atomic.Bool
+	withSystem(t, func(s *system) {
+		accept := s.accept
+		s.accept = func(ln *net.TCPListener) (*net.TCPConn, error) {
+			if failing.Load() {
+				return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.ENFILE)}
+			}
+			return accept(ln)
+		}
+	})
+	r := newRig(t, 256)
+	failing.Store(true)
+	r.dial().served(1, 1) // taken by the accept under way
+	a := r.dial()
+	a.ask(fields(ticket(2), "quick", "2000"))
+	time.Sleep(waits)
+	failing.Store(false)
+	told := func() int64 {
+		t.Helper()
+		if h := a.hear(); h.kind != "answer" {
+			t.Fatalf("%+v", h)
+		}
+		r.node.mu.Lock()
+		defer r.node.mu.Unlock()
+		ms, _ := strconv.ParseInt(r.node.headers.Get("X-Max-Ms"), 10, 64)
+		return ms
+	}
+	if ms, left := told(), 2000-waits.Milliseconds(); ms > left+150 || ms < left-250 {
+		t.Errorf("told %d ms, where %d are left", ms, left)
+	}
+	a.ask(fields(ticket(3), "quick", "2000"))
+	if ms := told(); ms < 1750 {
+		t.Errorf("the next one: told %d ms of 2000", ms)
+	}
+	a = r.dial()
+	a.ask(fields(ticket(4), "quick", "2000"))
+	if ms := told(); ms < 1750 {
+		t.Errorf("on a new connection: told %d ms of 2000", ms)
+	}
+}
