A request that waited behind failing accepts is told with what its client has left

Line at fault: client.go, take: a request's time began when it was read. Change: a connection that was accepted with bytes on it, since accepts began to fail and until the queue was empty again, may have waited so long; what is read of it at once counts from then, for the module, the guards and the compute node. Left: bytes that lie unread on a full core, without failing accepts, are still taken to have just come.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -53,6 +53,7 @@
 	id    thriftfront.ConnID
 	idle  time.Duration // between messages
 	stall time.Duration // until some more of what is written is taken
+	late  time.Duration // what is read now may have come so long ago; the reader's alone
 	net   *net.TCPConn
 	raw   syscall.RawConn
 	in    *bufio.Reader
@@ -148,6 +149,9 @@
 		var got error
 		err := c.raw.Read(func(fd uintptr) bool {
 			n, got = c.f.s.system.peek(fd)
+			if got == syscall.EAGAIN {
+				c.late = 0 // what comes now is read at once
+			}
 			return got != syscall.EAGAIN
 		})
 		switch {
@@ -272,7 +276,8 @@
 func (c *client) take(frame []byte) bool {
 	s, m := c.f.s, c.f.state.Read(frame)
 	c.f.mu.Lock()
-	v := c.f.state.Message(time.Now(), c.id, m)
+	v := c.f.state.Message(time.Now().Add(-c.late), c.id, m)
+	v.Event.TimeLeft -= c.late
 	if mutated(noOrder) {
 		v.Event.Key = ""
 	}
--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -295,8 +295,10 @@
 		}
 	})
 	r := newRig(t, 256)
+	r.dial().served(9, 1)
+	time.Sleep(20 * time.Millisecond) // the next accept waits
 	failing.Store(true)
-	r.dial().served(1, 1) // taken by the accept under way
+	r.dial().served(1, 1) // taken by that one
 	a := r.dial()
 	a.ask(fields(ticket(2), "quick", "2000"))
 	time.Sleep(waits)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -21,6 +21,7 @@
 const (
 	acceptPause = 10 * time.Millisecond // after an accept that failed by the machine...
 	acceptMost  = 16                    // ...or after so many in a row that failed by their connections
+	acceptWaits = time.Millisecond      // an accept that took longer waited for its connection
 	lastLook    = 2 * time.Millisecond  // for who waits for accept, once no more should come...
 	lastLooks   = 3                     // ...so often in vain
 	roomTries   = 4                     // connections looked at to make room for one
@@ -46,6 +47,30 @@
 		conns: map[thriftfront.ConnID]*client{}, ended: map[closeReason]uint64{}}
 }
 
+// acceptQueue estimates how long connections may have waited for accept. Danger: what a request has left
+// counts from its last byte, and one that waited behind accepts that fail has less than it says.
+type acceptQueue struct {
+	since time.Time // accepts failed first since the queue was last empty; zero: they did not
+}
+
+// accepted takes in how an accept went.
+func (q *acceptQueue) accepted(begun, ended time.Time, failed bool) {
+	switch {
+	case failed && q.since.IsZero():
+		q.since = begun
+	case !failed && ended.Sub(begun) > acceptWaits:
+		q.since = time.Time{} // it waited for a connection: nobody was in line
+	}
+}
+
+// waited is how long a connection that was just taken may have been in line at most.
+func (q *acceptQueue) waited(now time.Time) time.Duration {
+	if q.since.IsZero() {
+		return 0
+	}
+	return now.Sub(q.since)
+}
+
 // close enters why a connection ends; f.mu is held.
 func (f *front) close(why closeReason) {
 	f.ended[why]++
@@ -79,8 +104,11 @@
 	defer f.ln.Close()
 	empty := 0  // times in a row that the last call found nobody
 	failed := 0 // accepts in a row
+	var queue acceptQueue
 	for {
+		begun := time.Now()
 		c, err := f.s.system.accept(f.ln)
+		queue.accepted(begun, time.Now(), err != nil)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -119,6 +147,9 @@
 			c.Close()
 			continue
 		}
+		if cl.unread() {
+			cl.late = queue.waited(time.Now())
+		}
 		f.mu.Lock()
 		f.last++
 		cl.id, cl.idle, cl.stall = f.last, f.idle, f.stall
