--- a/cmd/cresspass/main.go
+++ b/cmd/cresspass/main.go
@@ -32,7 +32,7 @@
 	Rehearse rehearseCmd `cmd:"" help:"Play a day of trouble through real dispatchers and judge the rules."`
 	Model    modelCmd    `cmd:"" help:"Experiments in the model: fleets without sockets, in simulated time."`
 	Record   recordCmd   `cmd:"" help:"What dispatchers recorded of the queries they took."`
-	Soak     soakCmd     `cmd:"" help:"Play random faults through real dispatchers of the platform and judge the rules."`
+	Soak     soakCmd     `cmd:"" help:"Play random faults through real dispatchers and judge the rules."`
 	Demo     demoCmd     `cmd:"" help:"Run a roster, four engines and a dispatcher on this machine."`
 	Health   healthCmd   `cmd:"" help:"Ask a running dispatcher for its health; exit 1 unless it is ready."`
 	Version  versionCmd  `cmd:"" help:"Print the version."`
--- a/internal/backend/begin_test.go
+++ b/internal/backend/begin_test.go
@@ -7,9 +7,9 @@
 	"cresspass"
 )
 
-// TestWithdrawnBeforeItBegins: a statement that is withdrawn, or may not begin any more, leaves its connection
-// idle for others; that of a session stays the session's. Given to others, their statements would run inside its
-// transaction.
+// TestWithdrawnBeforeItBegins: a statement that is withdrawn, or may not begin any more, leaves its
+// connection idle for others; that of a session stays the session's. Given to others, their statements
+// would run inside its transaction.
 func TestWithdrawnBeforeItBegins(t *testing.T) {
 	for name, c := range map[string]struct {
 		session   bool
--- a/internal/computenode/computenode_test.go
+++ b/internal/computenode/computenode_test.go
@@ -241,8 +241,9 @@
 	}
 }
 
-// TestGiveUpOvertakesStart: a start of which nothing was heard may yet be on its way when a give-up on another
-// connection is answered; the attempt is over only after one that was sent when no start can be on its way.
+// TestGiveUpOvertakesStart: a start of which nothing was heard may yet be on its way when a give-up on
+// another connection is answered; the attempt is over only after one that was sent when no start can be on
+// its way.
 func TestGiveUpOvertakesStart(t *testing.T) {
 	gone := Event{Type: Answered, Answer: &nodehttp.Answer{Status: 204}}
 	stop := Event{Type: Stop, Outcome: cresspass.Cancelled}
@@ -265,7 +266,8 @@
 			now += s.Pause + ms
 			s = m.Next(now, gone)
 		}
-		if took := now - given; s.Type != End || s.Outcome != cresspass.Cancelled || c.waits != (took >= wayMost) ||
+		if took := now - given; s.Type != End || s.Outcome != cresspass.Cancelled ||
+			c.waits != (took >= wayMost) ||
 			took > forgotten {
 			t.Errorf("%s: ended %v after %v and %d give-ups", name, s.Type == End, took, deletes)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -260,7 +260,8 @@
 	Gone    uint64 `json:"gone"`
 
 	Violations map[invariant.Name]uint64 `json:"violations"` // of each invariant; any is a defect
-	Withheld   map[invariant.Name]uint64 `json:"withheld"`   // acts that no longer held when their moment came
+	// acts that no longer held when their moment came
+	Withheld map[invariant.Name]uint64 `json:"withheld"`
 }
 
 // health serves /live (200 while it runs), /ready (200 while it takes clients) and /health (JSON). In a
@@ -271,7 +272,8 @@
 		st := d.server.Stats()
 		state := life.State(d.state.Load())
 		violations, withheld := d.server.Invariants()
-		return Health{Violations: violations, Withheld: withheld, State: state.String(), Ready: state == life.Ready || state == life.Handing,
+		return Health{Violations: violations, Withheld: withheld, State: state.String(),
+			Ready:   state == life.Ready || state == life.Handing,
 			Trouble: d.server.Trouble(),
 			Clients: d.server.Clients(), Open: st.Open, Taken: st.Taken, Served: st.Served,
 			Refused: st.Refused,
--- a/internal/invariant/ledger.go
+++ b/internal/invariant/ledger.go
@@ -63,9 +63,10 @@
 	classes  map[string]*cresspass.Class
 	requests map[cresspass.QueryID]*entry
 	keys     map[string]cresspass.QueryID // whose attempt is out
-	served   []time.Time                  // when requests were taken that have been served, in ascending order
-	further  []time.Time                  // when further attempts were begun
-	serving  bool
+	// when requests were taken that have been served, in ascending order
+	served  []time.Time
+	further []time.Time // when further attempts were begun
+	serving bool
 }
 
 // NewLedger returns empty books of a dispatcher that does not serve yet.
@@ -172,7 +173,8 @@
 	case r.ran > 0 && r.class.Effect == cresspass.Keyed && now.Sub(r.first) > r.class.Window:
 		return stale(RepeatedLate, "%v after the first attempt", now.Sub(r.first))
 	case r.begun > 0 && !l.budgetLeft(now):
-		return stale(RepeatedOverBudget, "%d further attempts, %d requests served", len(l.further), len(l.served))
+		return stale(RepeatedOverBudget, "%d further attempts, %d requests served", len(l.further),
+			len(l.served))
 	}
 	return Verdict{}
 }
--- a/internal/platform/fault_test.go
+++ b/internal/platform/fault_test.go
@@ -338,7 +338,8 @@
 			return false
 		}
 		c, b, _ := w.(http.Hijacker).Hijack()
-		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: %d\r\n\r\n%s", len(row(id, 0)), row(id, 0))
+		text := fmt.Sprintf("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: %d\r\n\r\n%s",
+			len(row(id, 0)), row(id, 0))
 		b.WriteString(text)
 		b.Flush()
 		time.Sleep(3 * restFor)
--- a/internal/platform/faults.go
+++ b/internal/platform/faults.go
@@ -63,7 +63,8 @@
 	real := realSystem()
 	return &system{
 		dial: func(ctx context.Context, timeout time.Duration, addr string) (net.Conn, error) {
-			if err := fails(syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH, syscall.ENFILE); err != nil {
+			if err := fails(syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH,
+				syscall.ENFILE); err != nil {
 				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
 			}
 			return real.dial(ctx, timeout, addr)
@@ -75,7 +76,8 @@
 			return real.listen(addr)
 		},
 		accept: func(ln *net.TCPListener) (*net.TCPConn, error) {
-			if err := fails(syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENFILE, syscall.ENETDOWN); err != nil {
+			if err := fails(syscall.ECONNABORTED, syscall.ENOBUFS, syscall.ENFILE,
+				syscall.ENETDOWN); err != nil {
 				return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", err)}
 			}
 			return real.accept(ln)
@@ -86,6 +88,8 @@
 			}
 			return real.peek(fd)
 		},
-		wall: func() time.Time { return time.Now().Add(time.Duration(present.Load().WallStepMS) * time.Millisecond) },
+		wall: func() time.Time {
+			return time.Now().Add(time.Duration(present.Load().WallStepMS) * time.Millisecond)
+		},
 	}
 }
--- a/internal/platform/mutant.go
+++ b/internal/platform/mutant.go
@@ -6,18 +6,19 @@
 
 // The mutants.
 const (
-	noLookAtBegin   mutant = "no-look-at-begin"   // what was decided is written, whatever came since
-	noBudgetAtBegin mutant = "no-budget-at-begin" // further attempts are counted when they are decided on alone
-	noUnreadLook    mutant = "no-unread-look"     // connections are closed over unread bytes
-	noLinger        mutant = "no-linger"          // connections are closed at once
-	noGiveUp        mutant = "no-give-up"         // an attempt counts as over when it is stopped
-	wallClock       mutant = "wall-clock"         // starts follow the wall clock of the moment
-	secondAnswer    mutant = "second-answer"      // results are written twice
-	deafToReload    mutant = "deaf-to-reload"     // SIGHUP changes nothing
-	brittleLook     mutant = "brittle-look"       // a look that tells nothing ends a connection
-	noLastCall      mutant = "no-last-call"       // the listener closes over its backlog
-	fullDeadline    mutant = "full-deadline"      // compute nodes are told all of the client's time
-	noOrder         mutant = "no-order"           // keys are not read
-	noEnding        mutant = "no-ending"          // nothing is answered because the dispatcher ends
-	lostCancel      mutant = "lost-cancel"        // cancels are not read
+	noLookAtBegin mutant = "no-look-at-begin" // what was decided is written, whatever came since
+	// further attempts are counted when they are decided on alone
+	noBudgetAtBegin mutant = "no-budget-at-begin"
+	noUnreadLook    mutant = "no-unread-look" // connections are closed over unread bytes
+	noLinger        mutant = "no-linger"      // connections are closed at once
+	noGiveUp        mutant = "no-give-up"     // an attempt counts as over when it is stopped
+	wallClock       mutant = "wall-clock"     // starts follow the wall clock of the moment
+	secondAnswer    mutant = "second-answer"  // results are written twice
+	deafToReload    mutant = "deaf-to-reload" // SIGHUP changes nothing
+	brittleLook     mutant = "brittle-look"   // a look that tells nothing ends a connection
+	noLastCall      mutant = "no-last-call"   // the listener closes over its backlog
+	fullDeadline    mutant = "full-deadline"  // compute nodes are told all of the client's time
+	noOrder         mutant = "no-order"       // keys are not read
+	noEnding        mutant = "no-ending"      // nothing is answered because the dispatcher ends
+	lostCancel      mutant = "lost-cancel"    // cancels are not read
 )
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -42,7 +42,7 @@
 	reloadSlow   = time.Second            // ...and from then on
 	listenAgain  = 50 * time.Millisecond  // before a socket is asked for again at the start...
 	listenMost   = 2 * time.Second        // ...until so much has passed
-	eventsKept   = 4096                   // in memory, for the story of a request
+	eventsKept   = 1024                   // in memory, for the story of a request
 )
 
 // service is a running dispatcher on the platform.
@@ -143,8 +143,8 @@
 	return s, nil
 }
 
-// listen listens for clients. Where the machine fails for a moment, or the address is yet held by a process that
-// ends, it tries again for a while.
+// listen listens for clients. Where the machine fails for a moment, or the address is yet held by a
+// process that ends, it tries again for a while.
 func (s *service) listen() (net.Listener, error) {
 	for begun := time.Now(); ; time.Sleep(listenAgain) {
 		ln, err := s.system.listen(s.cfg.Listen)
--- a/internal/platform/stale_test.go
+++ b/internal/platform/stale_test.go
@@ -37,8 +37,8 @@
 
 const noBudget = `"grace-to-answer-us":5000`
 
-// TestBudgetWhenBegun: a further attempt that was within the budget when it was decided on, and then waits for a
-// descriptor until the requests that allowed it have left the window, is not begun.
+// TestBudgetWhenBegun: a further attempt that was within the budget when it was decided on, and then waits
+// for a descriptor until the requests that allowed it have left the window, is not begun.
 func TestBudgetWhenBegun(t *testing.T) {
 	for lookBack, want := range map[time.Duration]int{100 * time.Millisecond: 1, 5 * time.Second: 2} {
 		r := newRigWith(t, 256, noBudget, budgetOf(lookBack))
--- a/internal/platform/system.go
+++ b/internal/platform/system.go
@@ -45,8 +45,9 @@
 	return false
 }
 
-// ofOneConnection reports whether an accept failed by the connection that it was to take. Linux passes on what
-// befell that connection; others wait behind it, and there is nothing to wait for (accept(2), "Error handling").
+// ofOneConnection reports whether an accept failed by the connection that it was to take. Linux passes on
+// what befell that connection; others wait behind it, and there is nothing to wait for (accept(2), "Error
+// handling").
 func ofOneConnection(err error) bool {
 	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENETDOWN, syscall.EPROTO,
 		syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
--- a/internal/server/begin_test.go
+++ b/internal/server/begin_test.go
@@ -61,7 +61,8 @@
 		"its engine drains":   func(t *testing.T, w *waiting) { w.drain() },
 	} {
 		t.Run(name, func(t *testing.T) {
-			r, s := raise(t, 1, strings.Replace(settings, `drain_grace = "500ms"`, `drain_grace = "100ms"`, 1))
+			r, s := raise(t, 1, strings.Replace(settings, `drain_grace = "500ms"`,
+				`drain_grace = "100ms"`, 1))
 			g := newGate(t, r.Engines[0].Addr())
 			r.Change(0, func(e *roster.Engine) { e.Address = g.Addr().String() })
 			eventually(t, "the gate is on the list", func() bool { return s.Lists(g.Addr().String()) })
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -139,7 +139,8 @@
 	if err != nil {
 		return nil
 	}
-	c := &clientConn{d: d, net: n, open: map[int32]string{}, done: map[int32]string{}, sent: map[string]time.Time{}}
+	c := &clientConn{d: d, net: n, open: map[int32]string{}, done: map[int32]string{},
+		sent: map[string]time.Time{}}
 	d.track(c, true)
 	go c.read()
 	return c
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -59,7 +59,8 @@
 		return nil, err
 	}
 	// Below the ports that the system gives to connections, on addresses that no other run has at the time.
-	d.listen = fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, 1+os.Getpid()/200%200, 1+index, firstPort+f.run)
+	d.listen = fmt.Sprintf("127.%d.%d.%d:%d", 10+os.Getpid()%200, 1+os.Getpid()/200%200, 1+index,
+		firstPort+f.run)
 	var err error
 	if d.board, err = newBoard(); err != nil {
 		return nil, err
@@ -68,7 +69,10 @@
 		return nil, err
 	}
 	for i, n := range f.nodes {
-		p, err := newProxy(n.addr, func(connection int, now time.Time, b []byte) { d.tap(i, connection, now, b) })
+		p, err := newProxy(n.addr, func(connection int, now time.Time, b []byte) {
+			d.tap(i, connection,
+				now, b)
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -102,8 +106,9 @@
 	settings := d.fleet.settings()
 	data, err := json.Marshal(map[string]any{"name": fmt.Sprintf("d%d", d.index), "listen": d.listen,
 		"seed":   fmt.Sprintf("%016x", d.fleet.plan.Seed*1000+uint64(d.index*100+d.currentLife())),
-		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": d.fleet.plan.Sockets}, "board": d.board.addr(),
-		"known": map[string]any{"rev": len(known), "notices": known}, "settings": settings})
+		"limits": map[string]any{"cores": 1, "memory_mb": 96, "sockets": d.fleet.plan.Sockets},
+		"board":  d.board.addr(),
+		"known":  map[string]any{"rev": len(known), "notices": known}, "settings": settings})
 	if err != nil {
 		return err
 	}
@@ -157,7 +162,8 @@
 		d.mu.Unlock()
 		close(ended)
 		if !expected && !d.fleet.closing() {
-			d.fleet.oracle.found("crash", "", "dispatcher %d life %d ended: %v; %s", d.index, life, err, d.lastWords())
+			d.fleet.oracle.found("crash", "", "dispatcher %d life %d ended: %v; %s", d.index, life, err,
+				d.lastWords())
 		}
 	}()
 	d.awaitReady(ended)
@@ -237,10 +243,12 @@
 	select {
 	case <-ended:
 		if code := c.ProcessState.ExitCode(); code != 0 {
-			d.fleet.oracle.found("crash", "", "dispatcher %d life %d: exit %d after SIGTERM", d.index, life, code)
+			d.fleet.oracle.found("crash", "", "dispatcher %d life %d: exit %d after SIGTERM", d.index,
+				life, code)
 		}
 	case <-time.After(endsWithin):
-		d.fleet.oracle.found("not_ended", "", "dispatcher %d life %d, %v after SIGTERM", d.index, life, endsWithin)
+		d.fleet.oracle.found("not_ended", "", "dispatcher %d life %d, %v after SIGTERM", d.index, life,
+			endsWithin)
 		c.Process.Kill()
 		<-ended
 	}
@@ -372,7 +380,8 @@
 	in := bufio.NewScanner(bytes.NewReader(data))
 	in.Buffer(nil, 1<<20)
 	for in.Scan() {
-		if line := in.Text(); strings.Contains(line, "invariant violated") || strings.HasPrefix(line, "panic:") ||
+		if line := in.Text(); strings.Contains(line, "invariant violated") || strings.HasPrefix(line,
+			"panic:") ||
 			strings.HasPrefix(line, "fatal error:") {
 			lines = append(lines, line)
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -40,7 +40,8 @@
 
 // Write writes the report: the plan and stories where a rule was broken.
 func (r *Report) Write(w io.Writer) {
-	fmt.Fprintf(w, "seed %d: %d findings, %d violations logged, %v\n", r.Plan.Seed, len(r.Findings), len(r.Violations),
+	fmt.Fprintf(w, "seed %d: %d findings, %d violations logged, %v\n", r.Plan.Seed, len(r.Findings),
+		len(r.Violations),
 		r.Counts)
 	if !r.Broken() {
 		return
@@ -85,7 +86,8 @@
 
 // Run plays a plan.
 func Run(ctx context.Context, c Config) (*Report, error) {
-	f := &fleet{run: int(runs.Add(1)), plan: c.Plan, program: c.Program, mutant: c.Mutant, dir: c.Dir, oracle: newOracle(c.Plan.Budget)}
+	f := &fleet{run: int(runs.Add(1)), plan: c.Plan, program: c.Program, mutant: c.Mutant, dir: c.Dir,
+		oracle: newOracle(c.Plan.Budget)}
 	stop := make(chan struct{})
 	for i := range c.Plan.Nodes {
 		n, err := newComputeNode(i, f.oracle, c.Plan.Seed)
@@ -151,7 +153,8 @@
 
 // report judges.
 func (f *fleet) report() *Report {
-	r := &Report{Plan: f.plan, Findings: f.oracle.judge(), Counts: f.oracle.counts(), stories: map[string][]string{}}
+	r := &Report{Plan: f.plan, Findings: f.oracle.judge(), Counts: f.oracle.counts(),
+		stories: map[string][]string{}}
 	for _, d := range f.dispatchers {
 		for _, v := range d.violations() {
 			r.Violations = append(r.Violations, fmt.Sprintf("dispatcher %d: %s", d.index, v))
@@ -394,13 +397,15 @@
 // strangers ask and take back at once, for a while.
 func (f *fleet) strangers(t Trouble, d *dispatcher) {
 	random := rand.New(rand.NewPCG(f.plan.Seed, uint64(t.At)))
-	for until := time.Now().Add(t.For); time.Now().Before(until) && d.takesNew(); time.Sleep(5 * time.Millisecond) {
+	for until := time.Now().Add(t.For); time.Now().Before(until) &&
+		d.takesNew(); time.Sleep(5 * time.Millisecond) {
 		c := d.connect()
 		if c == nil {
 			return
 		}
 		for range openMost {
-			c.send(request{ticket: fmt.Sprintf("%016x", random.Uint64()), class: classes[0], limit: time.Second,
+			c.send(request{ticket: fmt.Sprintf("%016x", random.Uint64()), class: classes[0],
+				limit:    time.Second,
 				stranger: true})
 		}
 		c.cancelAll()
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -237,8 +237,10 @@
 	switch {
 	case len(a.answers) > 1:
 		o.find("second_answer", a.ticket, a.answers[1].at, "%d answers", len(a.answers))
-	case len(a.answers) == 0 && a.gone.IsZero() && (a.excused == "" || a.excused == crossedClose && len(a.posts) > 0):
-		o.find("lost", a.ticket, a.sent, "class %s at dispatcher %d: no answer in %v; connection ended %v", a.class,
+	case len(a.answers) == 0 && a.gone.IsZero() && (a.excused == "" || a.excused == crossedClose &&
+		len(a.posts) > 0):
+		o.find("lost", a.ticket, a.sent,
+			"class %s at dispatcher %d: no answer in %v; connection ended %v", a.class,
 			a.dispatcher, a.limit, !a.ended.IsZero())
 	}
 	if len(a.answers) == 0 {
@@ -270,7 +272,8 @@
 		}
 		if told, ok := o.drains[toldKey{p.dispatcher, p.life, p.generation}]; ok {
 			if late := p.first.Sub(told); late > drainGrace+measured {
-				o.find("sent_to_drained", a.ticket, p.first, "%s %v after its drain was told", p.generation, late)
+				o.find("sent_to_drained", a.ticket, p.first, "%s %v after its drain was told",
+					p.generation, late)
 			}
 		}
 	}
@@ -285,7 +288,8 @@
 			o.find("repeated_unsafe", a.ticket, now.from, "at node %d after node %d", now.node, before.node)
 		}
 		if before.to.IsZero() || now.from.Before(before.to) {
-			o.find("repeated_beside", a.ticket, now.from, "at node %d while at node %d", now.node, before.node)
+			o.find("repeated_beside", a.ticket, now.from, "at node %d while at node %d", now.node,
+				before.node)
 		}
 		if late := now.from.Sub(a.outs[0].from) - c.window; c.effect == keyed && late > measured {
 			o.find("repeated_late", a.ticket, now.from, "%v after its window", late)
@@ -403,7 +407,8 @@
 				allowed = n + 3*math.Sqrt(n) + 3
 			}
 			if work > allowed {
-				o.find("cold_overload", p.ticket, p.first, "%s: %.0f requests in %v, %.0f allowed", generation, work,
+				o.find("cold_overload", p.ticket, p.first, "%s: %.0f requests in %v, %.0f allowed",
+					generation, work,
 					coldWindow, allowed)
 				break
 			}
@@ -448,9 +453,10 @@
 		}
 		return fmt.Sprintf("%.3fs", t.Sub(o.zero).Seconds())
 	}
-	lines = append(lines, fmt.Sprintf("request %s of class %s, key %q, at dispatcher %d life %d: sent %s, limit %v, "+
-		"client gone %s, connection ended %s, excused %q", a.ticket, a.class, a.key, a.dispatcher, a.life,
-		at(a.sent), a.limit, at(a.gone), at(a.ended), a.excused))
+	lines = append(lines,
+		fmt.Sprintf("request %s of class %s, key %q, at dispatcher %d life %d: sent %s, limit %v, "+
+			"client gone %s, connection ended %s, excused %q", a.ticket, a.class, a.key, a.dispatcher, a.life,
+			at(a.sent), a.limit, at(a.gone), at(a.ended), a.excused))
 	for _, p := range a.posts {
 		lines = append(lines, fmt.Sprintf("  started at node %d (%s) %s to %s, told %v", p.node, p.generation,
 			at(p.first), at(p.whole), p.limit))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,7 +47,8 @@
 )
 
 var (
-	ofDispatcher = []Kind{Terminate, Terminate, Terminate, Kill, Reload, ReloadBurst, DiscDown, DiscMute, DiscSlow, DiscTorn, LinkDelay,
+	ofDispatcher = []Kind{Terminate, Terminate, Terminate, Kill, Reload, ReloadBurst, DiscDown, DiscMute,
+		DiscSlow, DiscTorn, LinkDelay,
 		LinkCut, LinkBytes, LinkReset, LinkForget, ClientDelay, ClientBytes, ClientsLeave, ClientsTake,
 		ClientsIdle, Strangers}
 	ofNode  = []Kind{NodeDrain, NodeCrash, NodeHang, NodesHang, NodeFull, NodeErrors, NodeTwice}
@@ -89,7 +90,8 @@
 
 func (p *Plan) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %d descriptors, %v\n",
+	fmt.Fprintf(&b,
+		"seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %d files, %v\n",
 		p.Seed, p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.Sockets, p.For)
 	for _, t := range p.Troubles {
 		fmt.Fprintf(&b, "  %s\n", t)
@@ -123,7 +125,8 @@
 func NewPlan(o Options) *Plan {
 	r := rand.New(rand.NewPCG(o.Seed, 0x50a4))
 	p := &Plan{Seed: o.Seed, For: o.For, Dispatchers: o.Dispatchers,
-		Nodes: nodesLeast + r.IntN(nodesMost-nodesLeast+1), Rate: float64(rateLeast + r.IntN(rateMost-rateLeast+1)),
+		Nodes: nodesLeast + r.IntN(nodesMost-nodesLeast+1), Rate: float64(rateLeast +
+			r.IntN(rateMost-rateLeast+1)),
 		Budget: r.IntN(2) == 0, Sockets: sockets[r.IntN(len(sockets))]}
 	for at := quietFirst; at < o.For-quietLast; {
 		first := draw(r, p, o.Faults, at)
@@ -141,7 +144,8 @@
 }
 
 func draw(r *rand.Rand, p *Plan, faults bool, at time.Duration) Trouble {
-	t := Trouble{At: at, For: 200*time.Millisecond + time.Duration(r.ExpFloat64()*float64(1500*time.Millisecond)),
+	t := Trouble{At: at, For: 200*time.Millisecond +
+		time.Duration(r.ExpFloat64()*float64(1500*time.Millisecond)),
 		Dispatcher: r.IntN(p.Dispatchers), Node: r.IntN(p.Nodes)}
 	switch n := r.IntN(10); {
 	case faults && n == 0:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -40,7 +40,8 @@
 		at func(ms int) time.Time
 	}
 	started := func(w *world, ticket string, ms int) {
-		p := post{call: call{first: w.at(ms), whole: w.at(ms), limit: 100 * time.Millisecond}, generation: "n0-0", life: 1}
+		p := post{call: call{first: w.at(ms), whole: w.at(ms), limit: 100 * time.Millisecond},
+			generation: "n0-0", life: 1}
 		w.change(ticket, func(a *asked) {
 			p.class = a.class
 			a.posts = append(a.posts, p)
@@ -61,7 +62,8 @@
 		play  func(w *world)
 		want  string // invariants
 	}{
-		"kept": {"once", func(w *world) { started(w, "a", 1); out(w, "a", 0, 1, 50); served(w, "a", 51) }, ""},
+		"kept": {"once", func(w *world) { started(w, "a", 1); out(w, "a", 0, 1, 50); served(w, "a", 51) },
+			""},
 		"lost": {"quick", func(w *world) {}, "lost"},
 		"late": {"quick", func(w *world) { served(w, "a", 3000) }, "late"},
 		"two answers": {"quick", func(w *world) {
@@ -72,8 +74,10 @@
 			served(w, "a", 10)
 			w.change("a", func(a *asked) { a.made = []string{"s"} })
 		}, "served_other"},
-		"after its client": {"quick", func(w *world) { gone(w, "a", 100); started(w, "a", 400) }, "sent_after_gone"},
-		"after its answer": {"quick", func(w *world) { served(w, "a", 100); started(w, "a", 400) }, "sent_after_answer"},
+		"after its client": {"quick", func(w *world) { gone(w, "a", 100); started(w, "a", 400) },
+			"sent_after_gone"},
+		"after its answer": {"quick", func(w *world) { served(w, "a", 100); started(w, "a", 400) },
+			"sent_after_answer"},
 		"deadline": {"quick", func(w *world) {
 			started(w, "a", 10)
 			w.change("a", func(a *asked) { a.posts[0].limit = 5 * time.Second })
@@ -103,7 +107,8 @@
 			out(w, "a", 0, 1, 50)
 			served(w, "a", 60)
 			w.change("b", func(b *asked) {
-				b.class, b.key, b.life, b.limit, b.sent, b.gone = "turn", "k", 1, time.Second, w.at(0), w.at(90)
+				b.class, b.key, b.life, b.limit, b.sent, b.gone = "turn", "k", 1, time.Second, w.at(0),
+					w.at(90)
 			})
 			out(w, "b", 1, 40, 80)
 		}, "out_of_order"},
@@ -117,7 +122,10 @@
 			w.cold["n0-0"] = w.at(0)
 			for i := range 400 {
 				ticket := string(rune('b' + i))
-				w.change(ticket, func(b *asked) { b.class, b.life, b.limit, b.sent, b.gone = "load", 1, time.Second, w.at(0), w.at(900) })
+				w.change(ticket, func(b *asked) {
+					b.class, b.life, b.limit, b.sent, b.gone = "load", 1,
+						time.Second, w.at(0), w.at(900)
+				})
 				started(w, ticket, 1+i)
 			}
 			served(w, "a", 100)
@@ -143,7 +151,8 @@
 
 // TestCallParser: calls are cut out of what a dispatcher writes wherever it is split.
 func TestCallParser(t *testing.T) {
-	text := "POST /x HTTP/1.1\r\nX-Ticket: t1\r\nX-Queue: once\r\nX-Max-Ms: 1500\r\nContent-Length: 8\r\n\r\nSELECT 1" +
+	text := "POST /x HTTP/1.1\r\nX-Ticket: t1\r\nX-Queue: once\r\nX-Max-Ms: 1500\r\n" +
+		"Content-Length: 8\r\n\r\nSELECT 1" +
 		"GET /x/t1/0 HTTP/1.1\r\n\r\n" + "DELETE /x/t1 HTTP/1.1\r\n\r\n"
 	for cut := range len(text) {
 		p, now := &callParser{}, time.Now()
--- a/internal/state/fault_test.go
+++ b/internal/state/fault_test.go
@@ -140,8 +140,8 @@
 	}
 }
 
-// TestOpensOnAFailingDisk: a folder whose disk takes nothing yet is opened all the same, with what it holds, and
-// the disk has all of it once it is well.
+// TestOpensOnAFailingDisk: a folder whose disk takes nothing yet is opened all the same, with what it
+// holds, and the disk has all of it once it is well.
 func TestOpensOnAFailingDisk(t *testing.T) {
 	dir := t.TempDir()
 	l, _, _ := openLog(t, dir)
