Only attempts that must be alone wait for a second give-up

The events: the attempt was called off after 80 ms, nothing had been heard of it, and its give-up took 350 ms more, so that no time was left to try again. Change: only attempts beside which nothing may run (unsafe, keyed, in order) wait for it; the machine is told so.

--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -86,6 +86,9 @@
 
 // Machine is one attempt. The zero value is ready for Begin.
 type Machine struct {
+	// Alone: nothing may run beside the query, neither another attempt of it nor the next of its key
+	Alone bool
+
 	begun, asked time.Duration // asked: the last time at which a call may have come to the compute node
 	posted       bool          // the query may be there
 	doubt        bool          // a call broke, so that the compute node may never have had the query
@@ -236,8 +239,9 @@
 	done := ev.Type == Refused && m.dead() ||
 		ev.Type == Answered && (ev.Answer.Status/100 == 2 || ev.Answer.Status == 500)
 	// Danger: a start of which nothing was heard may be on its way yet, on the connection that it was written
-	// to, and come behind the Delete. It is over only by one that is sent when none can be on its way.
-	if arrived := m.asked + wayMost; done && !m.heard && now < arrived {
+	// to, and come behind the Delete. Where nothing may run beside it, it is over only by one that is sent when
+	// none can be on its way. Others would wait so long for nothing, and be refused.
+	if arrived := m.asked + wayMost; done && m.Alone && !m.heard && now < arrived {
 		return Step{Type: Delete, Due: arrived, Wait: patience(0), Until: m.until(), Pause: arrived - now}
 	}
 	if done || now >= m.until() {
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -29,6 +29,7 @@
 	until  time.Time // the client's wait ends
 	latest time.Time // it must not begin later
 	begun  time.Time
+	alone  bool // nothing may run beside it
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -63,7 +64,7 @@
 
 // run plays the attempt and posts its one outcome.
 func (a *attempt) run() {
-	var m computenode.Machine
+	m := computenode.Machine{Alone: a.alone}
 	var c *nodeConn // of the last call, while it is whole
 	release := func(good bool) {
 		if c != nil {
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -379,6 +379,11 @@
 	a := &attempt{s: s, q: q, number: o.Attempt, engine: o.Engine, addr: addr, until: q.Until,
 		begun: time.Now()}
 	a.latest = a.begun.Add(o.Within)
+	for _, c := range s.cfg.Module.Classes {
+		if c.Name == q.Class {
+			a.alone = c.Effect != cresspass.Safe || c.InOrder
+		}
+	}
 	if o.MemoryMB > 0 {
 		a.grant = strconv.FormatInt(int64(math.Ceil(o.MemoryMB)), 10)
 	}
