--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -239,8 +239,8 @@
 	done := ev.Type == Refused && m.dead() ||
 		ev.Type == Answered && (ev.Answer.Status/100 == 2 || ev.Answer.Status == 500)
 	// Danger: a start of which nothing was heard may be on its way yet, on the connection that it was written
-	// to, and come behind the Delete. Where nothing may run beside it, it is over only by one that is sent when
-	// none can be on its way. Others would wait so long for nothing, and be refused.
+	// to, and come behind the Delete. Where nothing may run beside it, it is over only by one that is sent
+	// when none can be on its way. Others would wait so long for nothing, and be refused.
 	if arrived := m.asked + wayMost; done && m.Alone && !m.heard && now < arrived {
 		return Step{Type: Delete, Due: arrived, Wait: patience(0), Until: m.until(), Pause: arrived - now}
 	}
