A second copy of an answer is known by its bytes, however late it comes

Answers carry no id, and a connection rests 20 ms; what came later was taken for the answer to the next query's call (pool.go, restFor; attempt.go, do). Ruled out: a longer rest. It only moves the bound, and each idle connection that must rest costs a handshake. Change: package copies, pure, remembers what a connection answered. A result that repeats to the byte on one connection, news-less word that comes sooner than the protocol's 250 ms, and, for 30 s after copies were seen, refusals and errors that repeat, are not believed: the call is made again on a new connection, as after a broken one. Where the new connection says the same, the compute node does so by itself, and it is not suspected again.

--- /dev/null
+++ b/internal/copies/copies_test.go
@@ -0,0 +1,88 @@
+package copies
+
+import (
+	"testing"
+	"time"
+
+	"cresspass/internal/nodehttp"
+)
+
+func answer(status int, body string, headers ...string) *nodehttp.Answer {
+	a := &nodehttp.Answer{Status: status, Header: map[string]string{}, Body: []byte(body)}
+	for i := 0; i+1 < len(headers); i += 2 {
+		a.Header[headers[i]] = headers[i+1]
+	}
+	return a
+}
+
+// TestSuspect: what repeats on a connection is suspected where a compute node would hardly repeat it.
+func TestSuspect(t *testing.T) {
+	const quick, slow = 2 * time.Millisecond, 250 * time.Millisecond
+	result := answer(200, "a\tb\tc\n", "page-count", "1", "x-meter", "inflight:7")
+	loaded := answer(200, "a\tb\tc\n", "page-count", "1", "x-meter", "inflight:8")
+	other := answer(200, "a\tb\td\n", "page-count", "1", "x-meter", "inflight:7")
+	numbered, silent := answer(200, "a", "page-no", "1"), answer(202, "")
+	note, full := answer(202, "", "x-remark", "frac"), answer(503, "", "x-shed", "1")
+	gone, failed := answer(204, ""), answer(500, "")
+	for name, c := range map[string]struct {
+		first, second *nodehttp.Answer
+		took          time.Duration
+		copiesSeen    bool
+		want          bool
+	}{
+		"result":              {result, result, quick, false, true},
+		"another load":        {result, loaded, quick, false, false},
+		"another result":      {result, other, quick, false, false},
+		"numbered page":       {numbered, numbered, quick, true, false},
+		"no news, in time":    {silent, silent, slow, false, false},
+		"no news, too soon":   {silent, silent, quick, false, true},
+		"note, at once":       {note, note, quick, true, false},
+		"full":                {full, full, quick, false, false},
+		"full, copies about":  {full, full, quick, true, true},
+		"given up":            {gone, gone, quick, true, false},
+		"error, copies about": {failed, failed, quick, true, true},
+	} {
+		d, m := NewDetector(), &Memory{}
+		if c.copiesSeen {
+			d.Seen(0)
+		}
+		if _, suspect := d.Suspect(time.Second, c.took, m, c.first); suspect {
+			t.Errorf("%s: the first of its kind is suspected", name)
+		}
+		if _, suspect := d.Suspect(2*time.Second, c.took, m, c.second); suspect != c.want {
+			t.Errorf("%s: suspected %v, want %v", name, suspect, c.want)
+		}
+		if _, suspect := d.Suspect(2*time.Second, c.took, &Memory{}, c.second); suspect {
+			t.Errorf("%s: suspected on another connection", name)
+		}
+	}
+}
+
+// TestConstantResult: a result that repeats by itself is suspected once, one that turns out to be another's
+// has refusals suspected for a while.
+func TestConstantResult(t *testing.T) {
+	d, m := NewDetector(), &Memory{}
+	done, full := answer(200, "", "page-count", "0"), answer(503, "", "x-shed", "1")
+	suspected := 0
+	for range 20 {
+		f, suspect := d.Suspect(0, 0, m, done)
+		if suspect {
+			suspected++
+			d.Again(0, f, done)
+		}
+	}
+	if suspected != 1 {
+		t.Errorf("a constant result was suspected %d times, want once", suspected)
+	}
+	d.Suspect(0, 0, m, full)
+	if _, suspect := d.Suspect(0, 0, m, full); suspect {
+		t.Error("a refusal is suspected, and no copy was seen")
+	}
+	d.Again(time.Second, 1, full)
+	if _, suspect := d.Suspect(2*time.Second, 0, m, full); !suspect {
+		t.Error("a refusal is not suspected after a copy")
+	}
+	if _, suspect := d.Suspect(2*time.Second+copiesFor, 0, m, full); suspect {
+		t.Error("a refusal is suspected long after a copy")
+	}
+}
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -10,11 +10,14 @@
 
 	"cresspass"
 	"cresspass/internal/computenode"
+	"cresspass/internal/copies"
 	"cresspass/internal/eventlog"
 	"cresspass/internal/nodehttp"
 	"cresspass/internal/thriftfront"
 )
 
+var errCopy = errors.New("platform: an answer that may be a copy of an earlier one")
+
 const probeWait = 350 * time.Millisecond // for the answer
 
 // attempt is one query on one compute node: the shell of a computenode.Machine.
@@ -34,6 +37,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 
+	doubted copies.Fingerprint // of the last answer, if it may have been another's; run's alone
+
 	mu      sync.Mutex
 	conn    *nodeConn
 	stopped bool
@@ -145,9 +150,9 @@
 				return computenode.Event{Type: why}, c
 			}
 		}
-		used := !c.rested.IsZero()
+		used, written := !c.rested.IsZero(), time.Now()
 		answer, err := a.call(step, c)
-		if err == nil {
+		if err == nil && a.believes(c, time.Since(written), answer) {
 			return computenode.Event{Type: computenode.Answered, Answer: answer}, c
 		}
 		a.hold(nil)
@@ -159,6 +164,9 @@
 			}
 			return computenode.Event{Type: computenode.Unreached}, nil
 		}
+		if err == nil {
+			err = errCopy
+		}
 		a.s.events.Add(a.event(eventlog.Broken, err.Error()))
 		if step.Type != computenode.Delete {
 			a.s.broken.Add(1)
@@ -171,6 +179,20 @@
 	}
 }
 
+// believes reports whether an answer is that of the last call. One that may be a copy of an earlier answer is
+// not: the call is then made again on a new connection, and its answer there tells which it was.
+func (a *attempt) believes(c *nodeConn, took time.Duration, answer *nodehttp.Answer) bool {
+	if a.doubted != 0 {
+		a.s.pool.again(a.doubted, answer)
+		a.doubted = 0
+	}
+	f, suspect := a.s.pool.suspect(c, took, answer)
+	if suspect {
+		a.doubted = f
+	}
+	return !suspect
+}
+
 // mayBegin looks again, in the moment in which the query is written. Danger: since the module decided, the
 // attempt may have waited for a connection and for a dial, and its client, its compute node, its time or its
 // budget may have gone meanwhile.
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -11,6 +11,7 @@
 
 	"cresspass"
 	"cresspass/internal/connpool"
+	"cresspass/internal/copies"
 	"cresspass/internal/nodehttp"
 )
 
@@ -39,6 +40,7 @@
 	rested time.Time // when its last answer was whole; zero: it is new
 	out    []byte
 	asking bool // a call was written and has no whole answer
+	memory copies.Memory
 
 	mu   sync.Mutex
 	dead bool
@@ -64,17 +66,23 @@
 
 // usable reports whether an idle connection is open and silent, without waiting.
 func (c *nodeConn) usable() bool {
+	silent, _ := c.look()
+	return silent
+}
+
+// look looks at an idle connection without waiting: it is open and silent, or its compute node said more than
+// it was asked, or it is closed (neither).
+func (c *nodeConn) look() (silent, said bool) {
 	if c.in.Buffered() > 0 {
-		return false
+		return false, true
 	}
-	silent := false
 	// Danger: raw.Read would fail where the last call's deadline is over, and every connection that was
 	// idle for long would look dead.
 	err := c.raw.Control(func(fd uintptr) {
-		_, err := c.system.peek(fd)
-		silent = err == syscall.EAGAIN
+		n, err := c.system.peek(fd)
+		silent, said = err == syscall.EAGAIN, err == nil && n > 0
 	})
-	return err == nil && silent
+	return err == nil && silent, said
 }
 
 // call sends a request and reads its answer.
@@ -116,12 +124,14 @@
 	dials, reused uint64
 	crowded       uint64
 	longest       time.Duration // that anyone waited in line
+	copies        *copies.Detector
+	suspected     uint64 // answers
 }
 
 func newPool(sys *system, b *budget, connect, idle time.Duration) *pool {
 	p := &pool{system: sys, budget: b, connect: connect, zero: time.Now(), idle: map[uint64]*nodeConn{},
 		state: connpool.New(restFor, time.Duration(sparse*float64(idle))),
-		wait:  map[uint64]chan connpool.Grant{}}
+		wait:  map[uint64]chan connpool.Grant{}, copies: copies.NewDetector()}
 	p.settle = time.AfterFunc(time.Hour, p.sweep)
 	return p
 }
@@ -157,11 +167,35 @@
 		delete(p.idle, g.Conn)
 		p.reused++
 		p.mu.Unlock()
-		if c.usable() {
+		silent, said := c.look()
+		if silent {
 			return c, nil
 		}
-		p.put(c, false) // closed by its compute node, or it said more than it was asked
+		if said {
+			p.mu.Lock()
+			p.copies.Seen(p.now())
+			p.mu.Unlock()
+		}
+		p.put(c, false)
+	}
+}
+
+// suspect reports whether an answer that came so long after its call may be a second copy of an earlier one.
+func (p *pool) suspect(c *nodeConn, took time.Duration, a *nodehttp.Answer) (copies.Fingerprint, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, suspect := p.copies.Suspect(p.now(), took, &c.memory, a)
+	if suspect {
+		p.suspected++
 	}
+	return f, suspect
+}
+
+// again tells what a new connection gave in place of a suspected answer.
+func (p *pool) again(suspected copies.Fingerprint, a *nodehttp.Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copies.Again(p.now(), suspected, a)
 }
 
 // How often a connection is asked for again where our own machine has none for a moment.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -273,6 +273,7 @@
 	s.pool.mu.Lock()
 	open, waiting := s.pool.state.Open(), s.pool.state.Waiting()
 	dials, reused, crowded, longest := s.pool.dials, s.pool.reused, s.pool.crowded, s.pool.longest
+	suspected := s.pool.suspected
 	s.pool.longest = 0
 	s.pool.mu.Unlock()
 	s.mu.Lock()
@@ -280,7 +281,7 @@
 	s.mu.Unlock()
 	s.log.Info("figures", "core", fmt.Sprintf("%+v", st), "ends", ends, "clients", s.front.size(),
 		"nodes", open, "waiting", waiting, "dials", dials, "reused", reused, "crowded", crowded,
-		"longest", longest,
+		"longest", longest, "suspected", suspected,
 		"spoilt", s.spoilt.Load(), "broken", s.broken.Load(), "unread", s.unread.Load(),
 		"shut", s.shut.Load(), "lag", s.loop.Lag(),
 		"closed", s.front.closes(), "violations", invariant.Text(s.acts.counter.Violations()),
