What lies unread on a full core is seen: at a connection's end, before a send, in its time

Change: overdue looks under the front's lock; lateReader reads what is there by a deadline; front.awaited looks at the client's socket as a query is written and gives its reader 20 ms where something lies there; package stall (pure, fed by a heartbeat of 50 ms) tells how long what is read now may have waited, and its time is shortened by that.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -200,7 +200,7 @@
 	if mutated(noLookAtBegin) {
 		return 0, true
 	}
-	if a.s.front.get(a.q.ID) == nil {
+	if !a.s.front.awaited(a.q) {
 		a.s.events.Add(a.event(eventlog.Withheld, "its client has gone"))
 		return computenode.Unwanted, false
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -29,6 +29,7 @@
 	readAhead   = 1 << 10                // bytes read at once: mostly a whole message
 	lingerFor   = 200 * time.Millisecond // for a client to close a connection that was shut for writing
 	lookAgain   = time.Millisecond       // after a look at a socket that failed and tells nothing
+	readerMost  = 20 * time.Millisecond  // for a reader to come to what lies in its socket
 )
 
 // closeReason says why we close a client's connection.
@@ -54,6 +55,7 @@
 	idle  time.Duration // between messages
 	stall time.Duration // until some more of what is written is taken
 	late  time.Duration // what is read now may have come so long ago; the reader's alone
+	empty time.Duration // nothing was there to be read then; the reader's alone
 	net   *net.TCPConn
 	raw   syscall.RawConn
 	in    *bufio.Reader
@@ -150,10 +152,11 @@
 		err := c.raw.Read(func(fd uintptr) bool {
 			n, got = c.f.s.system.peek(fd)
 			if got == syscall.EAGAIN {
-				c.late = 0 // what comes now is read at once
+				c.late, c.empty = 0, c.f.s.clock()
 			}
 			return got != syscall.EAGAIN
 		})
+		c.late = max(c.late, c.f.s.stalls.waited(c.empty))
 		switch {
 		case err != nil:
 			return err
@@ -169,18 +172,33 @@
 	}
 }
 
-// unread reports whether something is there to be read, without waiting. Where the look fails it may be so.
-func (c *client) unread() (some bool) {
-	if mutated(noUnreadLook) {
-		return false
-	}
+// lookResult is what a look at a socket shows.
+type lookResult int
+
+// The results.
+const (
+	lookSilent lookResult = iota // nothing is there to be read
+	lookUnread                   // something is; where the look fails it may be so
+	lookClosed                   // by the other side, or broken
+)
+
+// look looks at what is there to be read, without waiting.
+func (c *client) look() lookResult {
+	result := lookClosed
 	c.raw.Control(func(fd uintptr) {
-		n, err := c.f.s.system.peek(fd)
-		some = err == nil && n > 0 || transient(err)
+		switch n, err := c.f.s.system.peek(fd); {
+		case err == nil && n > 0, transient(err):
+			result = lookUnread
+		case errors.Is(err, syscall.EAGAIN):
+			result = lookSilent
+		}
 	})
-	return some
+	return result
 }
 
+// unread reports whether something may be there to be read.
+func (c *client) unread() bool { return !mutated(noUnreadLook) && c.look() == lookUnread }
+
 // begin tells the state that a message has begun to come.
 func (c *client) begin() bool {
 	c.f.mu.Lock()
@@ -197,9 +215,27 @@
 	}
 }
 
+// lateReader reads from a client's connection. Danger: on a full core a deadline may pass over bytes that came
+// before it, and a read after a deadline does not look for them. What is there by then is read all the same.
+type lateReader struct{ c *client }
+
+func (r lateReader) Read(b []byte) (int, error) {
+	n, err := r.c.net.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.c.unread() {
+		r.c.patience(readerMost)
+		n, err = r.c.net.Read(b)
+		r.c.patience(0)
+	}
+	return n, err
+}
+
 // overdue has the state judge a connection on which nothing more came in time. It reports whether it ends.
 func (c *client) overdue() bool {
 	c.f.mu.Lock()
+	if !c.f.state.Partly(c.id) && c.unread() {
+		c.f.mu.Unlock() // its reader only had not come to it
+		return false
+	}
 	why := closedIdle
 	if c.f.state.Partly(c.id) {
 		why = closedHalf
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -133,7 +133,8 @@
 		if err != nil {
 			continue
 		}
-		cl := &client{f: f, net: c, in: bufio.NewReaderSize(c, readAhead)}
+		cl := &client{f: f, net: c}
+		cl.in = bufio.NewReaderSize(lateReader{cl}, readAhead)
 		if cl.raw, err = c.SyscallConn(); err != nil {
 			c.Close()
 			continue
@@ -147,8 +148,9 @@
 			c.Close()
 			continue
 		}
+		cl.empty = f.s.clock()
 		if cl.unread() {
-			cl.late = queue.waited(time.Now())
+			cl.late = max(queue.waited(time.Now()), f.s.stalls.waited(0))
 		}
 		f.mu.Lock()
 		f.last++
@@ -285,6 +287,27 @@
 	return ok
 }
 
+// awaited reports whether a request's client still waits for it, by what lies in its socket. Danger: on a full
+// core the reader of a close or a cancel may come after the attempt that it forbids.
+func (f *front) awaited(q *thriftfront.Request) bool {
+	f.mu.Lock()
+	c := f.conns[q.Conn]
+	f.mu.Unlock()
+	for begun := time.Now(); c != nil; time.Sleep(lookAgain) {
+		switch c.look() {
+		case lookClosed:
+			return false
+		case lookSilent:
+			return f.get(q.ID) != nil
+		}
+		// Something lies there, which may take the request back: its reader has a moment to come to it.
+		if f.get(q.ID) == nil || time.Since(begun) > readerMost {
+			break
+		}
+	}
+	return f.get(q.ID) != nil
+}
+
 // serve gives a request its result.
 func (f *front) serve(id cresspass.QueryID, pages [][]byte) bool {
 	return f.answer(id, eventlog.Answered, "", func(seq int32) []byte {
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -59,6 +59,7 @@
 	front        *front
 	watch        *watcher
 	acts         *acts
+	stalls       *stalls
 
 	mu       sync.Mutex
 	attempts map[attemptKey]*attempt
@@ -98,6 +99,7 @@
 	s := &service{cfg: cfg, path: path, log: log, system: newSystem(), clock: dispatch.Monotonic(),
 		reportFields: cfg.Module.ReportFields, attempts: map[attemptKey]*attempt{},
 		outcomes: map[cresspass.Outcome]uint64{}}
+	s.stalls = newStalls(s.clock)
 	s.events = eventlog.New(eventsKept, log)
 	s.acts = newActs(&cfg.Module, invariant.NewCounter(log), s.events)
 	core, err := dispatch.NewCore(cfg.Module, s.clock())
@@ -139,6 +141,7 @@
 	s.acts.serve(true)
 	go s.loop.Run()
 	go s.watch.run()
+	go s.stalls.run(s.watch.life)
 	go s.front.run()
 	return s, nil
 }
--- /dev/null
+++ b/internal/stall/stall_test.go
@@ -0,0 +1,33 @@
+package stall
+
+import (
+	"testing"
+	"time"
+)
+
+// TestWaited: what is read in a stall, or soon after one, may have come at its beginning, but not before
+// nothing was there.
+func TestWaited(t *testing.T) {
+	const ms = time.Millisecond
+	m := NewMeter(1000 * ms)
+	for at := 1050 * ms; at <= 1500*ms; at += Every {
+		m.Beat(at + 10*ms) // a little late, as ever
+	}
+	want := func(what string, now, since, waited time.Duration) {
+		t.Helper()
+		if got := m.Waited(now*ms, since*ms); got != waited*ms {
+			t.Errorf("%s: %v, want %v", what, got, waited*ms)
+		}
+	}
+	want("no stall", 1520, 0, 0)
+	want("in a stall, before its beat", 2200, 0, 690)
+	want("in a stall, nothing there in its midst", 2200, 2000, 200)
+	m.Beat(2200 * ms)
+	want("right after a stall", 2210, 1000, 700)
+	want("right after, and nothing was there in its midst", 2210, 2100, 110)
+	want("nothing was there after it", 2210, 2205, 0)
+	m.Beat(2250 * ms)
+	m.Beat(2300 * ms)
+	m.Beat(2350 * ms)
+	want("long after a stall", 2350, 0, 0)
+}
