Failing tests: SIGTERM lost at the start, an end before all were heard, a false give-up

A dispatcher ended 0 ms after its last call although it had just accepted a connection with a request. 200 and 202 end a DELETE, which gets 204. The soak has pauses of processes, resting connections that are reset, late dials and late second copies now.

--- a/internal/computenode/computenode_test.go
+++ b/internal/computenode/computenode_test.go
@@ -275,3 +275,21 @@
 		}
 	}
 }
+
+// TestGivenUpByItsOwnAnswer: an answer that no Delete gets, as a copy of an earlier one, does not show that a
+// query was given up.
+func TestGivenUpByItsOwnAnswer(t *testing.T) {
+	for status, over := range map[int]bool{200: false, 202: false, 204: true, 500: true, 503: false} {
+		m := Machine{Alone: true}
+		m.Next(0, Event{Type: Begin})
+		m.Next(ms, Event{Type: Answered, Answer: &nodehttp.Answer{Status: 202}})
+		step := m.Next(2*ms, Event{Type: Stop, Outcome: cresspass.Cancelled})
+		if step.Type != Delete {
+			t.Fatalf("%+v", step)
+		}
+		step = m.Next(3*ms, Event{Type: Answered, Answer: &nodehttp.Answer{Status: status}})
+		if got := step.Type == End; got != over {
+			t.Errorf("after %d: over %v, want %v", status, got, over)
+		}
+	}
+}
--- a/internal/platform/busy_test.go
+++ b/internal/platform/busy_test.go
@@ -1,7 +1,9 @@
 package platform
 
 import (
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -73,6 +75,41 @@
 	}
 }
 
+// TestEndWaitsForWhoWasAccepted: a dispatcher does not end while a connection that it accepted is on its way
+// into the books, with a request on it.
+func TestEndWaitsForWhoWasAccepted(t *testing.T) {
+	var slow atomic.Bool
+	withSystem(t, func(s *system) {
+		accept := s.accept
+		s.accept = func(ln *net.TCPListener) (*net.TCPConn, error) {
+			c, err := accept(ln)
+			if err == nil && slow.Load() { // the core is full
+				time.Sleep(300 * time.Millisecond)
+			}
+			return c, err
+		}
+	})
+	r := newRig(t, 256)
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- r.live(signals) }()
+	slow.Store(true)
+	signals <- syscall.SIGTERM
+	time.Sleep(newAfterTerm - 100*time.Millisecond)
+	a := r.dial()
+	a.ask(fields(ticket(1), "quick", "2000"))
+	got := make(chan heard, 1)
+	go func() { got <- a.hear() }()
+	<-ended
+	select {
+	case h := <-got:
+		if h.kind != "answer" {
+			t.Errorf("%+v", h)
+		}
+	default:
+		t.Error("it ended before it had answered")
+	}
+}
+
 // TestStoppedProcess: what came while the process did not run has less time than it says, on connections old
 // and new, and nothing is sent for a client that left meanwhile.
 func TestStoppedProcess(t *testing.T) {
--- a/internal/platform/faults.go
+++ b/internal/platform/faults.go
@@ -22,6 +22,7 @@
 type faults struct {
 	WallStepMS int64   `json:"wall_step_ms"` // added to the wall clock
 	Share      float64 `json:"share"`        // of calls that fail
+	DialMostMS int64   `json:"dial_most_ms"` // that a connection comes up late; a third of them do
 }
 
 var present atomic.Pointer[faults]
@@ -59,6 +60,20 @@
 	return errnos[rand.IntN(len(errnos))]
 }
 
+// dialsLate waits, as long as a connection that comes up late does, and at most as long as its maker waits.
+func dialsLate(ctx context.Context, timeout time.Duration) error {
+	most := present.Load().DialMostMS
+	if most <= 0 || rand.IntN(3) > 0 {
+		return nil
+	}
+	late := time.Duration(rand.Int64N(most)) * time.Millisecond
+	sleep(ctx, min(late, timeout))
+	if late >= timeout || ctx.Err() != nil {
+		return os.ErrDeadlineExceeded
+	}
+	return nil
+}
+
 func faultySystem() *system {
 	real := realSystem()
 	return &system{
@@ -67,6 +82,9 @@
 				syscall.ENFILE); err != nil {
 				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", err)}
 			}
+			if err := dialsLate(ctx, timeout); err != nil {
+				return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
+			}
 			return real.dial(ctx, timeout, addr)
 		},
 		listen: func(addr string) (net.Listener, error) {
--- a/internal/platform/process_test.go
+++ b/internal/platform/process_test.go
@@ -8,6 +8,8 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -152,3 +154,40 @@
 		t.Errorf("one answer too many: %s", fmt.Sprint(h))
 	}
 }
+
+// TestTermAtAnyMomentOfTheStart: a SIGTERM that comes while the process starts ends it, whenever it comes: by
+// the signal itself, or in good order.
+func TestTermAtAnyMomentOfTheStart(t *testing.T) {
+	const tries, step, at, endsBy = 3, time.Millisecond, 40, 5 * time.Second
+	program := buildProgram(t)
+	r := &rig{t: t, node: newNode(t), board: newNotices(t), sockets: 256,
+		path: filepath.Join(t.TempDir(), "c.json")}
+	r.board.add(true, "s-1", address(r.node.Server), "up")
+	if err := os.WriteFile(r.path, r.config(address(r.board.Server)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var lost atomic.Int32
+	var all sync.WaitGroup
+	for n := range at * tries {
+		after := time.Duration(n/tries) * step
+		c := exec.Command(program, "node")
+		c.Env = append(os.Environ(), "ROUTER_CONFIG="+r.path)
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(after)
+		c.Process.Signal(syscall.SIGTERM)
+		all.Go(func() {
+			timer := time.AfterFunc(endsBy, func() {
+				lost.Add(1)
+				c.Process.Kill()
+			})
+			c.Wait()
+			timer.Stop()
+		})
+	}
+	all.Wait()
+	if n := lost.Load(); n > 0 {
+		t.Errorf("%d of %d processes did not end", n, at*tries)
+	}
+}
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -40,9 +40,10 @@
 	process  *exec.Cmd
 	ended    chan struct{} // closed when the process has ended
 	ready    bool
-	leaving  time.Time // SIGTERM was sent; zero: not
-	busy     bool      // a change of life goes on
-	crowded  time.Time // until then idle clients may fill its descriptors
+	leaving  time.Time     // SIGTERM was sent; zero: not
+	busy     bool          // a change of life goes on
+	paused   time.Duration // in all its lives
+	crowded  time.Time     // until then idle clients may fill its descriptors
 	delay    time.Duration
 	conns    map[*clientConn]bool
 	requests map[string]request
@@ -236,7 +237,7 @@
 	}
 	defer d.release()
 	d.mu.Lock()
-	c, ended, life := d.process, d.ended, d.life
+	c, ended, life, paused := d.process, d.ended, d.life, d.paused
 	d.leaving = time.Now()
 	d.mu.Unlock()
 	c.Process.Signal(syscall.SIGTERM)
@@ -246,7 +247,7 @@
 			d.fleet.oracle.found("crash", "", "dispatcher %d life %d: exit %d after SIGTERM", d.index,
 				life, code)
 		}
-	case <-time.After(endsWithin):
+	case <-d.after(endsWithin, paused):
 		d.fleet.oracle.found("not_ended", "", "dispatcher %d life %d, %v after SIGTERM", d.index, life,
 			endsWithin)
 		c.Process.Kill()
@@ -258,6 +259,20 @@
 	}
 }
 
+// after tells when so much time has passed in which the process ran, from when it had been paused for so long.
+func (d *dispatcher) after(wait, paused time.Duration) <-chan time.Time {
+	over := make(chan time.Time, 1)
+	go func() {
+		time.Sleep(wait)
+		d.mu.Lock()
+		more := d.paused - paused
+		d.mu.Unlock()
+		time.Sleep(more)
+		over <- time.Now()
+	}()
+	return over
+}
+
 // kill ends the life at once, and begins another.
 func (d *dispatcher) kill() {
 	if !d.claim() {
@@ -294,6 +309,22 @@
 	c.Process.Signal(syscall.SIGHUP)
 }
 
+// pause has the process not run for a while.
+func (d *dispatcher) pause(by time.Duration) {
+	d.mu.Lock()
+	c, ready := d.process, d.ready
+	d.mu.Unlock()
+	if !ready {
+		return
+	}
+	c.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(by)
+	c.Process.Signal(syscall.SIGCONT)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.paused += by
+}
+
 // takes reports whether it is sent requests, takesNew whether new connections too.
 func (d *dispatcher) takes() bool { return d.takesFor(requestsFor) }
 
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -78,6 +78,12 @@
 	work    sync.WaitGroup
 }
 
+// Of troubles.
+const (
+	idleReset = 150 * time.Millisecond  // between resets of resting connections
+	dialMost  = 1500 * time.Millisecond // that a connection comes up late
+)
+
 // settleFor is how long after the last request the run goes on, so that each has its answer.
 const settleFor = 4 * time.Second
 
@@ -339,6 +345,14 @@
 		for _, p := range d.nodes {
 			p.forget()
 		}
+	case LinkIdle:
+		for until := time.Now().Add(t.For); time.Now().Before(until); time.Sleep(idleReset) {
+			for _, p := range d.nodes {
+				p.resetIdle()
+			}
+		}
+	case Pause:
+		d.pause(t.For)
 	case ClientDelay, ClientBytes:
 		f.clientLink(t, d)
 	case ClientsLeave:
@@ -359,7 +373,7 @@
 			all.Go(func() { f.fault(t, d) })
 		}
 		all.Wait()
-	case CallsFail:
+	case CallsFail, DialsLate:
 		f.fault(t, d)
 	}
 }
@@ -421,15 +435,17 @@
 		os.WriteFile(next, data, 0o644)
 		os.Rename(next, filepath.Join(d.dir, "faults.json"))
 	}
-	if t.Kind == ClockStep {
+	switch t.Kind {
+	case ClockStep:
 		write(map[string]any{"wall_step_ms": t.Step.Milliseconds()})
-	} else {
+		return
+	case DialsLate:
+		write(map[string]any{"dial_most_ms": dialMost.Milliseconds()})
+	default:
 		write(map[string]any{"share": 0.4})
 	}
 	time.Sleep(t.For)
-	if t.Kind == CallsFail {
-		write(map[string]any{})
-	}
+	write(map[string]any{})
 }
 
 // nodeTrouble has a trouble of a compute node happen.
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -15,6 +15,8 @@
 const (
 	newsAfter = 250 * time.Millisecond // a question is answered without news
 	unaskedBy = 2 * time.Second        // a query that nobody asks for is given up
+	copyLeast = 2 * time.Millisecond   // after which an answer comes a second time
+	copyMost  = 120 * time.Millisecond
 )
 
 // run is a query on a compute node.
@@ -259,10 +261,17 @@
 		return
 	}
 	defer c.Close()
-	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nPage-Count: %d\r\nPage-No: %d\r\nContent-Length: %d\r\n\r\n%s",
-		len(r.pages), page, len(r.pages[page]), r.pages[page])
+	number := "" // the first page has none, as on the platform
+	if page > 0 {
+		number = fmt.Sprintf("Page-No: %d\r\n", page)
+	}
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nPage-Count: %d\r\n%sContent-Length: %d\r\n\r\n%s",
+		len(r.pages), number, len(r.pages[page]), r.pages[page])
+	n.mu.Lock()
+	late := copyLeast + time.Duration(n.random.Int64N(int64(copyMost-copyLeast)))
+	n.mu.Unlock()
 	io.WriteString(c, text)
-	time.Sleep(3 * time.Millisecond)
+	time.Sleep(late)
 	io.WriteString(c, text)
 	time.Sleep(100 * time.Millisecond)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,11 +29,13 @@
 	LinkBytes    Kind = "link-bytes"     // one byte at a time
 	LinkReset    Kind = "link-reset"     // connections are reset, with bytes on the way
 	LinkForget   Kind = "link-forget"    // resting connections are forgotten: silence for what comes on them
+	LinkIdle     Kind = "link-idle"      // resting connections are reset, again and again
 	ClientDelay  Kind = "client-delay"   // the clients' links of a dispatcher
 	ClientBytes  Kind = "client-bytes"
 	ClientsLeave Kind = "clients-leave"  // all its clients close, with requests open
 	ClientsTake  Kind = "clients-cancel" // all open requests are taken back
 	ClientsIdle  Kind = "clients-idle"   // many connections that say nothing
+	Pause        Kind = "pause"          // the process does not run for a moment, as on a full core
 	Strangers    Kind = "strangers"      // ask much and take it back, and count for nothing
 	NodeDrain    Kind = "node-drain"     // drains, leaves, and another comes at its address
 	NodeCrash    Kind = "node-crash"     // and comes back cold
@@ -41,18 +43,19 @@
 	NodesHang    Kind = "nodes-hang" // all of them, for longer than a shutdown takes
 	NodeFull     Kind = "node-full"
 	NodeErrors   Kind = "node-errors"
-	NodeTwice    Kind = "node-twice" // answers come twice
+	NodeTwice    Kind = "node-twice" // answers come twice, the second copy up to 120 ms later
 	ClockStep    Kind = "clock-step" // the dispatcher's wall clock, by seconds or an hour
 	CallsFail    Kind = "calls-fail" // accept, connect and looks at sockets fail now and then
+	DialsLate    Kind = "dials-late" // connections come up late
 )
 
 var (
 	ofDispatcher = []Kind{Terminate, Terminate, Terminate, Kill, Reload, ReloadBurst, DiscDown, DiscMute,
 		DiscSlow, DiscTorn, LinkDelay,
-		LinkCut, LinkBytes, LinkReset, LinkForget, ClientDelay, ClientBytes, ClientsLeave, ClientsTake,
-		ClientsIdle, Strangers}
+		LinkCut, LinkBytes, LinkReset, LinkForget, LinkIdle, ClientDelay, ClientBytes, ClientsLeave,
+		ClientsTake, ClientsIdle, Pause, Pause, Strangers}
 	ofNode  = []Kind{NodeDrain, NodeCrash, NodeHang, NodesHang, NodeFull, NodeErrors, NodeTwice}
-	ofFault = []Kind{ClockStep, CallsFail} // these need the build for the soak
+	ofFault = []Kind{ClockStep, CallsFail, DialsLate} // these need the build for the soak
 )
 
 // Trouble is one trouble of a plan.
@@ -116,6 +119,7 @@
 	troubleEvery          = 700 * time.Millisecond  // in the mean, over the fleet
 	secondOf              = 0.75                    // chance of a second trouble inside the first one's time
 	thirdOf               = 0.3
+	pauseMost             = 400 * time.Millisecond
 )
 
 // sockets are the descriptors that a dispatcher may have: with few, calls wait for one another.
@@ -165,6 +169,8 @@
 		t.For = 4*time.Second + t.For/4
 	case Strangers, NodeErrors:
 		t.For += 2 * time.Second
+	case Pause:
+		t.For = min(t.For, pauseMost)
 	}
 	return t
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// restingFrom is the silence from which a connection counts as resting: more than a question for news takes.
+const restingFrom = 300 * time.Millisecond
+
 // mode is how a link behaves.
 type mode int
 
@@ -163,12 +166,24 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.conns {
-		if time.Since(c.lastUsed) > 300*time.Millisecond {
+		if time.Since(c.lastUsed) > restingFrom {
 			c.forgotten = true
 		}
 	}
 }
 
+// resetIdle resets connections that rest.
+func (p *proxy) resetIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		if time.Since(c.lastUsed) > restingFrom {
+			reset(c.near)
+			reset(c.far)
+		}
+	}
+}
+
 // cutAll resets all connections.
 func (p *proxy) cutAll() {
 	p.mu.Lock()
