A SIGTERM of the first moments ends the process; an end waits for all that were accepted

Causes: main took SIGTERM for a context that the dispatcher never looks at, some milliseconds before the dispatcher asked for the signal itself (cmd/cresspass, main): it was lost between the two. live looked at the front's books alone, which an accepted connection enters only after a look at its socket (front.run). left took any 2xx for the answer to its DELETE. Change: the context is made for the commands that take it; front.done closes once the last accepted connection is in the books, and the end waits for that; 204 and 500 alone end a DELETE.

--- a/cmd/cresspass/main.go
+++ b/cmd/cresspass/main.go
@@ -39,18 +39,24 @@
 }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	var c cli
 	k := kong.Parse(&c, kong.Name("cresspass"), kong.UsageOnError(),
 		kong.Description("Admits queries and routes them to analytic engines, by PostgreSQL's protocol."),
-		kong.BindTo(ctx, (*context.Context)(nil)))
+		kong.BindSingletonProvider(untilToldToEnd))
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, "cresspass:", err)
 		os.Exit(1)
 	}
 }
 
+// untilToldToEnd returns the context of the commands that take one: it ends with SIGINT or SIGTERM. Danger: for
+// a dispatcher it must not be made. It takes those signals, and one that comes before the dispatcher itself
+// listens for them would be lost.
+func untilToldToEnd() (context.Context, error) {
+	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	return ctx, nil
+}
+
 type versionCmd struct{}
 
 func (versionCmd) Run() error {
--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -4,6 +4,7 @@
 package computenode
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 
@@ -237,7 +238,7 @@
 // left reads what became of a Delete. What broke may not have come.
 func (m *Machine) left(now time.Duration, ev Event) Step {
 	done := ev.Type == Refused && m.dead() ||
-		ev.Type == Answered && (ev.Answer.Status/100 == 2 || ev.Answer.Status == 500)
+		ev.Type == Answered && givenUp(ev.Answer)
 	// Danger: a start of which nothing was heard may be on its way yet, on the connection that it was written
 	// to, and come behind the Delete. Where nothing may run beside it, it is over only by one that is sent
 	// when none can be on its way. Others would wait so long for nothing, and be refused.
@@ -252,6 +253,12 @@
 		Pause: min(againFirst<<min(m.bad-1, 8), againMost)}
 }
 
+// givenUp reports whether an answer to a Delete shows that the query is over: it was given up, or is not known.
+// Danger: an answer that no Delete gets may be a copy of an earlier one.
+func givenUp(r *nodehttp.Answer) bool {
+	return r.Status == http.StatusNoContent || r.Status == http.StatusInternalServerError
+}
+
 // patience is how long an answer that is due may take, after so many in a row that did not come. Danger: an
 // answer that got lost is only found missing, and asked for again, when this is over; but where the core is
 // full, answers that are there are read late.
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -39,11 +39,12 @@
 	ended  map[closeReason]uint64 // connections
 	idle   time.Duration          // of the connections to come
 	stall  time.Duration          // of the connections to come
+	done   chan struct{}          // closed once no further connection comes
 }
 
 func newFront(s *service, ln *net.TCPListener, b *budget) *front {
 	return &front{s: s, ln: ln, budget: b, idle: idleMost, stall: writeWithin,
-		state: thriftfront.New(&s.cfg.Module),
+		state: thriftfront.New(&s.cfg.Module), done: make(chan struct{}),
 		conns: map[thriftfront.ConnID]*client{}, ended: map[closeReason]uint64{}}
 }
 
@@ -101,6 +102,7 @@
 func (f *front) lastCallFor(d time.Duration) { f.ln.SetDeadline(time.Now().Add(d)) }
 
 func (f *front) run() {
+	defer close(f.done)
 	defer f.ln.Close()
 	empty := 0  // times in a row that the last call found nobody
 	failed := 0 // accepts in a row
@@ -254,6 +256,16 @@
 	return f.state.Size()
 }
 
+// over reports whether no connection is left, and none is to come.
+func (f *front) over() bool {
+	select {
+	case <-f.done: // asked first: what was accepted before is in the books by then
+		return f.open() == 0 && f.size() == 0
+	default:
+		return false
+	}
+}
+
 // open returns how many requests have no answer yet.
 func (f *front) open() int {
 	f.mu.Lock()
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -217,7 +217,7 @@
 				s.front.closeIdle()
 				// Danger: a query that was given up runs on until its compute node knows, and the next life
 				// of this name would send the next of its key beside it.
-				if s.front.open() == 0 && s.front.size() == 0 && s.attemptsOut() == 0 {
+				if s.front.over() && s.attemptsOut() == 0 {
 					s.look()
 					return nil
 				}
