Failing tests: serve is deaf after one failed accept, sends unseen, blames engines for us

Seen: after one ECONNABORTED, ENOBUFS, EPROTO or ENOMEM at accept the Flight SQL front takes no connection any more (gRPC's Serve returns); a query that waits until its engine has taken the session's settings is written although its client went meanwhile; EADDRNOTAVAIL, ENOBUFS, ENETUNREACH, ENFILE and EMFILE at a connect end an attempt as a failed connection to its engine. backend.Config.Control is the seam.

--- a/internal/backend/begin_test.go
+++ b/internal/backend/begin_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"net"
+	"os"
+	"syscall"
 	"testing"
+	"time"
 
 	"cresspass"
+	"cresspass/internal/answer"
+	"cresspass/internal/ask"
+	"cresspass/internal/params"
+	"cresspass/internal/pgwire"
 )
 
 // TestWithdrawnBeforeItBegins: a statement that is withdrawn, or may not begin any more, leaves its
@@ -51,3 +58,90 @@
 		p.Close()
 	}
 }
+
+// TestLookAgainBehindSettings: a query that waits until its engine has taken the session's settings is not sent
+// where it may not begin any more by then, and its connection goes on with those settings.
+func TestLookAgainBehindSettings(t *testing.T) {
+	near, far := net.Pipe()
+	defer near.Close()
+	defer far.Close()
+	p := NewPool(Config{MaxConnections: 4, MaxPrepared: 4})
+	defer p.Close()
+	e := p.engine("engine")
+	c := &conn{pool: p, engine: e, nc: near}
+	e.all[c] = struct{}{}
+	wrote := make(chan string, 8)
+	go func() {
+		b := make([]byte, 4096)
+		for {
+			n, err := far.Read(b)
+			if err != nil {
+				return
+			}
+			wrote <- string(b[:n])
+		}
+	}()
+	settings := (&params.Set{}).With("search_path", "s")
+	ended := make(chan Result, 2)
+	waits := true
+	a := &Attempt{Ask: &ask.Ask{Kind: ask.Simple, Text: "select 1", Rest: true, Settings: settings},
+		Answer: answer.New(nil, &answer.Budget{}, 0), Priority: -1, Ended: func(r Result) { ended <- r },
+		MayBegin: func() (cresspass.Outcome, bool) { return cresspass.Moot, waits }}
+	a.Answer.Begin(0)
+	c.begin(a)
+	<-wrote
+	waits = false
+	for _, m := range []pgwire.Message{{Type: 'C', Body: []byte("SET\x00")}, {Type: 'Z', Body: []byte("I")}} {
+		if err := c.message(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	select {
+	case r := <-ended:
+		if r.Outcome != cresspass.Moot {
+			t.Errorf("%+v", r)
+		}
+	case b := <-wrote:
+		t.Fatalf("written: %q", b)
+	}
+	if len(e.idle) != 1 || c.have != settings {
+		t.Errorf("%d idle connections, want the one with the settings", len(e.idle))
+	}
+}
+
+// TestOwnMachineFails: a connect that fails by our own machine is made again, and counts against no engine.
+func TestOwnMachineFails(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.EADDRNOTAVAIL, syscall.ENOBUFS, syscall.ENETUNREACH,
+		syscall.ENFILE, syscall.EMFILE} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		fails := 3
+		p := NewPool(Config{MaxConnections: 4, ConnectTimeout: 200 * time.Millisecond,
+			Control: func(string, string, syscall.RawConn) error {
+				if fails--; fails >= 0 {
+					return os.NewSyscallError("connect", errno)
+				}
+				return nil
+			}})
+		came := make(chan struct{})
+		go func() {
+			if c, err := ln.Accept(); err == nil {
+				close(came)
+				c.Close()
+			}
+		}()
+		ended := make(chan Result, 1)
+		p.Start(cresspass.EngineID(ln.Addr().String()), &Attempt{Priority: -1,
+			Ended: func(r Result) { ended <- r }})
+		r := <-ended
+		select {
+		case <-came:
+		default:
+			t.Errorf("%v: ended with %v, %s, before a connection came", errno, r.Outcome, r.Message)
+		}
+		ln.Close()
+		p.Close()
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cresspass"
@@ -32,6 +33,8 @@
 	ReportFields  int // values in a load report
 	// bytes of a COPY's data that may wait for the engine before the client is no longer read
 	CopyAhead int
+	// called before each connect, with the new socket; its error fails the connect. nil: nothing is called
+	Control func(network, address string, c syscall.RawConn) error
 }
 
 // Result is how an attempt ended.
@@ -441,4 +444,6 @@
 }
 
 // dialer connects with a limit of time.
-func (p *Pool) dialer() *net.Dialer { return &net.Dialer{Timeout: p.cfg.ConnectTimeout} }
+func (p *Pool) dialer() *net.Dialer {
+	return &net.Dialer{Timeout: p.cfg.ConnectTimeout, Control: p.cfg.Control}
+}
--- /dev/null
+++ b/internal/server/accept_test.go
@@ -0,0 +1,74 @@
+package server_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"cresspass/internal/config"
+	"cresspass/internal/server"
+)
+
+// failingListener has some accepts fail by the system.
+type failingListener struct {
+	net.Listener
+	errno syscall.Errno
+	fails atomic.Int32
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.fails.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", l.errno)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFrontsOutliveFailedAccepts: an accept that fails by the machine, or by the connection that it was to
+// take, ends no front.
+func TestFrontsOutliveFailedAccepts(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO,
+		syscall.ENOMEM} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			var lns []*failingListener
+			for range 2 {
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				if err != nil {
+					t.Fatal(err)
+				}
+				l := &failingListener{Listener: ln, errno: errno}
+				l.fails.Store(3)
+				lns = append(lns, l)
+			}
+			r := engines(t, 1)
+			cfg, err := config.Parse("test.hcl", []byte(flightSettings+fmt.Sprintf(
+				"listen = \"127.0.0.1:0\"\nroster { eds = %q }\n", r.Roster.Addr())))
+			if err != nil {
+				t.Fatal(err)
+			}
+			cfg.FlightListener = lns[1]
+			s, err := server.StartOn(cfg, slog.New(slog.DiscardHandler), lns[0])
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(s.Close)
+			<-s.Listed()
+			c := dial(t, s)
+			c.send(&pgproto3.Query{String: "select 1"})
+			c.until("Z")
+			f := dialFlight(t, s, "")
+			limit, cancel := context.WithTimeout(f.ctx, 5*time.Second)
+			defer cancel()
+			if _, err := f.Execute(limit, "select 1"); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
