Failed accepts end no front, held-back queries are looked at again, engines bear no blame of ours

Causes: gRPC's, net/http's and our own accept loops took an error that is not 'temporary' to Go for the listener's end (flightfront.Serve, daemon.health, heirs.accept); conn.message wrote a gated query by a look at its withdrawal alone; connect made of any failed dial a failed connection to the engine. Change: package listen opens and accepts through moments in which the machine fails, for all listeners of serve and node; package oserr says what an errno means, for both; Attempt.MayBegin is asked again before a gated query, whose connection goes back with its settings; a dial is made again for a second where our own machine has none, and then is no engine's.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -14,6 +14,7 @@
 
 	"cresspass"
 	"cresspass/internal/ask"
+	"cresspass/internal/oserr"
 	"cresspass/internal/params"
 	"cresspass/internal/pgwire"
 )
@@ -75,8 +76,11 @@
 	failed := func(err error) (*conn, Result) {
 		return nil, Result{Outcome: cresspass.ConnectFailed, Message: err.Error()}
 	}
-	nc, err := p.dialer().Dial("tcp", string(e.id))
-	if err != nil {
+	nc, err := p.dialPatiently(string(e.id))
+	switch {
+	case oserr.OwnMachine(err): // danger: it tells nothing of the engine
+		return nil, Result{Outcome: cresspass.Full, Message: err.Error()}
+	case err != nil:
 		return failed(err)
 	}
 	c := &conn{pool: p, engine: e, nc: nc, names: map[string]*list.Element{}, recent: list.New(),
@@ -150,13 +154,11 @@
 	}
 	// Danger: since the module decided, the attempt may have waited for this connection, and its client, its
 	// engine or its time may have gone meanwhile.
-	if a.MayBegin != nil {
-		if outcome, ok := a.MayBegin(); !ok {
-			c.mu.Unlock()
-			c.release(a)
-			a.end(Result{Outcome: outcome, Message: "not begun: what was decided no longer held"})
-			return true
-		}
+	if outcome, ok := a.mayBegin(); !ok {
+		c.mu.Unlock()
+		c.release(a)
+		a.end(notBegun(outcome))
+		return true
 	}
 	c.skip, c.preparing, c.syncOwed, c.copied, c.copyFailed = 0, "", false, false, false
 	c.gated, c.told, c.foul, c.tags = nil, false, false, nil
@@ -171,6 +173,31 @@
 	return true
 }
 
+// mayBegin asks once more whether an attempt may begin whose request was held back. Where not, the attempt ends
+// and the connection, on which nothing of it was sent, is free.
+func (c *conn) mayBegin(a *Attempt) bool {
+	outcome, ok := a.mayBegin()
+	if ok {
+		return true
+	}
+	kept := a.Lease != nil && a.Lease.held() == c // by its session
+	c.mu.Lock()
+	c.cur.Store(nil)
+	c.parked = !kept && c.cancels > 0
+	free := !c.parked && !kept
+	c.mu.Unlock()
+	if free {
+		c.pool.give(c)
+	}
+	a.end(notBegun(outcome))
+	return false
+}
+
+// notBegun is the result of an attempt of which nothing was sent.
+func notBegun(outcome cresspass.Outcome) Result {
+	return Result{Outcome: outcome, Message: "not begun: what was decided no longer held"}
+}
+
 // release gives back a connection on which nothing was sent; that of a session stays with it.
 func (c *conn) release(a *Attempt) {
 	if a.Lease == nil || a.Lease.held() != c {
@@ -485,6 +512,10 @@
 			request := c.gated
 			c.gated = nil
 			if !c.failed && !a.done.Load() {
+				// Danger: the engine may have taken long for the settings.
+				if !c.mayBegin(a) {
+					return nil
+				}
 				c.write(request)
 				return nil
 			}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -15,6 +15,7 @@
 	"cresspass/internal/answer"
 	"cresspass/internal/ask"
 	"cresspass/internal/copyin"
+	"cresspass/internal/oserr"
 	"cresspass/internal/params"
 	"cresspass/internal/verdict"
 )
@@ -171,6 +172,14 @@
 	}
 }
 
+// mayBegin asks whether the attempt may be written now, and says how it ends if not.
+func (a *Attempt) mayBegin() (cresspass.Outcome, bool) {
+	if a.MayBegin == nil {
+		return 0, true
+	}
+	return a.MayBegin()
+}
+
 // end reports the outcome once.
 func (a *Attempt) end(r Result) {
 	if a.done.CompareAndSwap(false, true) {
@@ -444,6 +453,28 @@
 }
 
 // dialer connects with a limit of time.
+// How often a connection is made again where our own machine has none for a moment.
+const (
+	dialAgain = 10 * time.Millisecond // before the first time, doubled each time...
+	dialMost  = time.Second           // ...until that has passed
+)
+
+// dialPatiently connects to an engine, and again where our own machine fails.
+func (p *Pool) dialPatiently(addr string) (net.Conn, error) {
+	for pause, waited := dialAgain, time.Duration(0); ; pause *= 2 {
+		c, err := p.dialer().Dial("tcp", addr)
+		if !oserr.OwnMachine(err) || waited >= dialMost {
+			return c, err
+		}
+		select {
+		case <-time.After(pause):
+		case <-p.stop:
+			return nil, err
+		}
+		waited += pause
+	}
+}
+
 func (p *Pool) dialer() *net.Dialer {
 	return &net.Dialer{Timeout: p.cfg.ConnectTimeout, Control: p.cfg.Control}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"cresspass/internal/config"
 	"cresspass/internal/invariant"
 	"cresspass/internal/life"
+	"cresspass/internal/listen"
 	"cresspass/internal/server"
 	"cresspass/internal/signals"
 )
@@ -89,7 +90,7 @@
 		}
 		defer former.close()
 	} else {
-		ln, err := net.Listen("tcp", o.Config.Listen)
+		ln, err := listen.Open(o.Config.Listen)
 		if err != nil {
 			return err
 		}
@@ -292,7 +293,9 @@
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil && !wait {
-		return nil, err
+		if ln, err = listen.Open(addr); err != nil {
+			return nil, err
+		}
 	}
 	ended := make(chan struct{})
 	halt := make(chan struct{})
@@ -306,7 +309,7 @@
 				ln, _ = net.Listen("tcp", addr)
 			}
 		}
-		s.Serve(ln)
+		s.Serve(listen.Lasting{Listener: ln})
 	}()
 	return func() {
 		close(halt)
--- a/internal/daemon/handover.go
+++ b/internal/daemon/handover.go
@@ -15,6 +15,7 @@
 
 	"cresspass/internal/config"
 	"cresspass/internal/life"
+	"cresspass/internal/listen"
 	"cresspass/internal/server"
 )
 
@@ -79,10 +80,11 @@
 func (h *heirs) accept() {
 	defer h.work.Done()
 	for {
-		c, err := h.ln.AcceptUnix()
+		accepted, err := listen.Lasting{Listener: h.ln}.Accept()
 		if err != nil {
 			return
 		}
+		c := accepted.(*net.UnixConn)
 		h.mu.Lock()
 		h.next++
 		who := h.next
--- a/internal/flightfront/front.go
+++ b/internal/flightfront/front.go
@@ -32,6 +32,7 @@
 	"cresspass/internal/flood"
 	"cresspass/internal/front"
 	"cresspass/internal/kept"
+	"cresspass/internal/listen"
 	"cresspass/internal/ticket"
 )
 
@@ -149,7 +150,7 @@
 	s.work.Add(1)
 	go func() {
 		defer s.work.Done()
-		if err := s.grpc.Serve(&listener{ln, s}); err != nil && !s.drains.Load() {
+		if err := s.grpc.Serve(&listener{listen.Lasting{Listener: ln}, s}); err != nil && !s.drains.Load() {
 			s.log.Warn("Flight SQL", "error", err)
 		}
 	}()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -26,6 +26,7 @@
 	"cresspass/internal/copyin"
 	"cresspass/internal/front"
 	"cresspass/internal/kept"
+	"cresspass/internal/listen"
 	"cresspass/internal/orphan"
 	"cresspass/internal/pgwire"
 	"cresspass/internal/pin"
@@ -135,18 +136,12 @@
 	go func() {
 		defer s.accepts.Done()
 		for {
-			nc, err := ln.Accept()
-			switch {
-			case err == nil:
-				if _, err := s.engine.AddConn(nc); err != nil {
-					s.log.Warn("client connection not taken", "error", err)
-				}
-			case errors.Is(err, net.ErrClosed):
+			nc, err := listen.Lasting{Listener: ln}.Accept()
+			if err != nil {
 				return
-			default:
-				// Danger: out of file descriptors, an accept loop that gave up would leave the service deaf.
-				s.log.Warn("accept", "error", err)
-				time.Sleep(20 * time.Millisecond)
+			}
+			if _, err := s.engine.AddConn(nc); err != nil {
+				s.log.Warn("client connection not taken", "error", err)
 			}
 		}
 	}()
--- /dev/null
+++ b/internal/oserr/oserr.go
@@ -0,0 +1,34 @@
+// Package oserr tells what errors of system calls mean: that they come from our own machine, and tell nothing
+// of the other side, or from one connection alone.
+package oserr
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+)
+
+var (
+	ownMachine = []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+		syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EINTR}
+	oneConnection = []syscall.Errno{syscall.ECONNABORTED, syscall.ENETDOWN, syscall.EPROTO,
+		syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
+		syscall.ENETUNREACH, syscall.EINTR}
+	transient = []syscall.Errno{syscall.EINTR, syscall.ENOBUFS, syscall.ENOMEM}
+)
+
+// OwnMachine reports whether a call failed by our own machine, which tells nothing of the other side.
+func OwnMachine(err error) bool { return isOne(err, ownMachine) }
+
+// OfOneConnection reports whether an accept failed by the connection that it was to take. Linux passes on
+// what befell that connection; others wait behind it, and there is nothing to wait for (accept(2), "Error
+// handling").
+func OfOneConnection(err error) bool { return isOne(err, oneConnection) }
+
+// Transient reports whether a call that does not wait failed in a way that tells nothing of its connection.
+func Transient(err error) bool { return isOne(err, transient) }
+
+func isOne(err error, of []syscall.Errno) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && slices.Contains(of, errno)
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cresspass/internal/eventlog"
+	"cresspass/internal/oserr"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
 )
@@ -160,7 +161,7 @@
 		switch {
 		case err != nil:
 			return err
-		case transient(got) && !mutated(brittleLook):
+		case oserr.Transient(got) && !mutated(brittleLook):
 			// Danger: it tells nothing. Waiting for the poller instead, which tells only of what is new,
 			// would leave what is there unread for good.
 			time.Sleep(lookAgain)
@@ -187,7 +188,7 @@
 	result := lookClosed
 	c.raw.Control(func(fd uintptr) {
 		switch n, err := c.f.s.system.peek(fd); {
-		case err == nil && n > 0, transient(err):
+		case err == nil && n > 0, oserr.Transient(err):
 			result = lookUnread
 		case errors.Is(err, syscall.EAGAIN):
 			result = lookSilent
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -15,6 +15,7 @@
 
 	"cresspass"
 	"cresspass/internal/discovery"
+	"cresspass/internal/oserr"
 	"cresspass/internal/wire"
 )
 
@@ -62,7 +63,7 @@
 // readPatiently reads a file, and again where the machine has no descriptor or memory for it.
 func readPatiently(path string) (data []byte, err error) {
 	for range readTries {
-		if data, err = os.ReadFile(path); err == nil || !ownMachine(err) {
+		if data, err = os.ReadFile(path); err == nil || !oserr.OwnMachine(err) {
 			break
 		}
 		time.Sleep(readAgain)
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -13,6 +13,7 @@
 
 	"cresspass"
 	"cresspass/internal/eventlog"
+	"cresspass/internal/oserr"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
 )
@@ -129,7 +130,7 @@
 		}
 		if failed++; err == nil {
 			failed = 0
-		} else if !ofOneConnection(err) || failed > acceptMost { // the machine fails for a moment
+		} else if !oserr.OfOneConnection(err) || failed > acceptMost { // the machine fails for a moment
 			time.Sleep(acceptPause)
 		}
 		if err != nil {
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -13,6 +13,7 @@
 	"cresspass/internal/connpool"
 	"cresspass/internal/copies"
 	"cresspass/internal/nodehttp"
+	"cresspass/internal/oserr"
 )
 
 // restFor is how long a connection is left alone after an answer. Danger: a compute node may send a second
@@ -287,7 +288,7 @@
 	p.dials++
 	if err != nil {
 		p.do(p.state.Gone(p.limits()))
-		if ownMachine(err) {
+		if oserr.OwnMachine(err) {
 			return nil, errNoSlot // danger: it tells nothing of the compute node
 		}
 		return nil, err
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"math"
@@ -23,6 +22,7 @@
 	"cresspass/internal/dispatch"
 	"cresspass/internal/eventlog"
 	"cresspass/internal/invariant"
+	"cresspass/internal/listen"
 	"cresspass/internal/signals"
 	"cresspass/internal/thrift"
 	"cresspass/internal/thriftfront"
@@ -40,8 +40,6 @@
 	reloadAgain  = 200 * time.Millisecond // before a configuration that can't be read is read again...
 	reloadTries  = 10                     // ...so often: it may be half written...
 	reloadSlow   = time.Second            // ...and from then on
-	listenAgain  = 50 * time.Millisecond  // before a socket is asked for again at the start...
-	listenMost   = 2 * time.Second        // ...until so much has passed
 	eventsKept   = 1024                   // in memory, for the story of a request
 )
 
@@ -130,7 +128,7 @@
 			s.loop.Post(ev)
 		}
 	}
-	ln, err := s.listen()
+	ln, err := listen.OpenWith(cfg.Listen, s.system.listen)
 	if err != nil {
 		return nil, fmt.Errorf("platform: %w", err)
 	}
@@ -146,18 +144,6 @@
 	return s, nil
 }
 
-// listen listens for clients. Where the machine fails for a moment, or the address is yet held by a
-// process that ends, it tries again for a while.
-func (s *service) listen() (net.Listener, error) {
-	for begun := time.Now(); ; time.Sleep(listenAgain) {
-		ln, err := s.system.listen(s.cfg.Listen)
-		passing := ownMachine(err) || errors.Is(err, syscall.EADDRINUSE)
-		if err == nil || !passing || time.Since(begun) > listenMost {
-			return ln, err
-		}
-	}
-}
-
 // live waits for signals and for the end.
 func (s *service) live(signals <-chan os.Signal) error {
 	look, sweep := time.NewTicker(lookEvery), time.NewTicker(sweepEvery)
--- a/internal/platform/system.go
+++ b/internal/platform/system.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -34,36 +33,6 @@
 	}
 }
 
-// ownMachine reports whether a call failed by our own machine, which tells nothing of the other side.
-func ownMachine(err error) bool {
-	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
-		syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN, syscall.EINTR} {
-		if errors.Is(err, errno) {
-			return true
-		}
-	}
-	return false
-}
-
-// ofOneConnection reports whether an accept failed by the connection that it was to take. Linux passes on
-// what befell that connection; others wait behind it, and there is nothing to wait for (accept(2), "Error
-// handling").
-func ofOneConnection(err error) bool {
-	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENETDOWN, syscall.EPROTO,
-		syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.ENONET, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP,
-		syscall.ENETUNREACH, syscall.EINTR} {
-		if errors.Is(err, errno) {
-			return true
-		}
-	}
-	return false
-}
-
-// transient reports whether a call that does not wait failed in a way that tells nothing of its connection.
-func transient(err error) bool {
-	return errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
-}
-
 // peek looks at what is there to be read: 0 and no error at the end.
 func peek(fd uintptr) (int, error) {
 	var b [1]byte
--- a/internal/server/flight.go
+++ b/internal/server/flight.go
@@ -1,13 +1,12 @@
 package server
 
 import (
-	"net"
-
 	"cresspass/internal/answer"
 	"cresspass/internal/ask"
 	"cresspass/internal/bearer"
 	"cresspass/internal/classify"
 	"cresspass/internal/flightfront"
+	"cresspass/internal/listen"
 )
 
 // flightFront makes the front for Flight SQL, where the settings have one.
@@ -17,7 +16,7 @@
 		return nil
 	}
 	if s.flightLn = cfg.FlightListener; s.flightLn == nil {
-		ln, err := net.Listen("tcp", cfg.Flight.Listen)
+		ln, err := listen.Open(cfg.Flight.Listen)
 		if err != nil {
 			return err
 		}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -27,6 +27,7 @@
 	"cresspass/internal/invariant"
 	"cresspass/internal/kept"
 	"cresspass/internal/knowledge"
+	"cresspass/internal/listen"
 	"cresspass/internal/orphan"
 	"cresspass/internal/peers"
 	"cresspass/internal/recording"
@@ -105,7 +106,7 @@
 
 // Start starts a dispatcher and returns once it listens.
 func Start(cfg *config.Config, log *slog.Logger) (*Server, error) {
-	ln, err := net.Listen("tcp", cfg.Listen)
+	ln, err := listen.Open(cfg.Listen)
 	if err != nil {
 		return nil, err
 	}
