--- a/internal/platform/stale_test.go
+++ b/internal/platform/stale_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"cresspass/internal/discovery"
+	"cresspass/internal/invariant"
+	"cresspass/internal/thrift"
 )
 
 // newRigWith is newRig with some text of its settings replaced.
@@ -122,3 +124,34 @@
 		}
 	}
 }
+
+// TestGuardsLetNothingThrough: what the books do not allow is not done: a request that comes outside the
+// dispatcher's life is refused, and of two answers one is written.
+func TestGuardsLetNothingThrough(t *testing.T) {
+	r := newRig(t, 256)
+	a := r.dial()
+	a.served(1, 1)
+	r.acts.serve(false)
+	a.ask(fields(ticket(2), "quick", "2000"))
+	if h := a.hear(); h.kind != "shed" {
+		t.Errorf("outside life: %+v", h)
+	}
+	r.acts.serve(true)
+	seq := r.held(a, 3)
+	r.front.mu.Lock()
+	q := r.front.state.OpenOn(r.only().id)[0]
+	r.front.mu.Unlock()
+	r.acts.end(q, true) // as by another hand
+	if r.front.serve(q.ID, [][]byte{[]byte("a\tb\tc\n")}) {
+		t.Error("a second answer went out")
+	}
+	a.net.Write(thrift.AppendCancel(nil, 99, seq))
+	if n := r.node.count("POST " + ticket(2)); n != 0 {
+		t.Errorf("%d queries sent outside life", n)
+	}
+	for _, name := range []invariant.Name{invariant.TakenOutsideLife, invariant.AnsweredTwice} {
+		if n := r.acts.counter.Violations()[name]; n == 0 {
+			t.Errorf("%s: not counted", name)
+		}
+	}
+}
