One guard for node and serve, and what it forbids is not done

Cause: acts.take and acts.end threw their verdicts away; serve asked its client, its time and the list before a send, and had no books of attempts. The ledger was never closed, and a request outside the dispatcher's life was not in it. Change: invariant.Guard is the shell of the ledger for both. front.answer writes nothing that it forbids, a request that it does not take is refused at once, the last words close the books. Server.Take, mayBegin, an attempt's end and a query's end ask it; the rehearsal kit's mutants run unguarded, as its judge has to see what they break.

--- a/cmd/cresspass/rehearse.go
+++ b/cmd/cresspass/rehearse.go
@@ -234,6 +234,7 @@
 	o.Start = func(cfg *config.Config, log *slog.Logger, ln net.Listener) (*server.Server, error) {
 		module := cfg.Module
 		baseline.Loosen(c.Mutate, &cfg.Module)
+		cfg.Unguarded = c.Mutate != 0
 		return server.StartWith(cfg, log, ln, func(cresspass.Config) (dispatch.Decider, error) {
 			return baseline.New(c.Policy, c.Mutate, module)
 		})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -249,12 +249,15 @@
 
 // Config is a checked settings file.
 type Config struct {
-	Path           string
-	Shares         FrontShares
-	Flight         FlightSettings
-	Peers          PeerSettings
-	Record         string // folder; "": nothing is recorded
-	RecordLimits   recording.Limits
+	Path         string
+	Shares       FrontShares
+	Flight       FlightSettings
+	Peers        PeerSettings
+	Record       string // folder; "": nothing is recorded
+	RecordLimits recording.Limits
+	// violated invariants are counted, and the act goes through: for the rehearsal kit, whose judge has to see
+	// what a decider breaks
+	Unguarded      bool
 	FlightListener net.Listener // taken over from a former dispatcher; nil: one is opened
 	Listen         string
 	MaxClients     int
--- a/internal/invariant/ledger.go
+++ b/internal/invariant/ledger.go
@@ -85,16 +85,16 @@
 // Len returns how many requests are in the books.
 func (l *Ledger) Len() int { return len(l.requests) }
 
-// Take enters a request.
+// Take enters a request. One that may not be taken is entered too, as it is owed a refusal.
 func (l *Ledger) Take(now time.Time, r Request) Verdict {
-	if !l.serving {
-		return violated(TakenOutsideLife, "class %s", r.Class)
-	}
 	class := l.classes[r.Class]
 	if class == nil {
 		class = &cresspass.Class{Name: r.Class, Effect: cresspass.Unsafe}
 	}
 	l.requests[r.ID] = &entry{Request: r, class: class, taken: now, passed: map[int]time.Time{}}
+	if !l.serving {
+		return violated(TakenOutsideLife, "class %s", r.Class)
+	}
 	return Verdict{}
 }
 
@@ -118,10 +118,10 @@
 func (l *Ledger) Begin(now time.Time, id cresspass.QueryID, attempt int, at Place) Verdict {
 	r := l.requests[id]
 	switch {
-	case !l.serving:
-		return violated(SentOutsideLife, "query %d", id)
 	case r == nil || r.ended:
 		return stale(SentAfterEnd, "query %d", id)
+	case !l.serving:
+		return violated(SentOutsideLife, "query %d", id)
 	}
 	if v := mayGo(now, r, at); !v.OK() {
 		return v
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"cresspass"
 	"cresspass/internal/eventlog"
 	"cresspass/internal/oserr"
 	"cresspass/internal/thrift"
@@ -49,6 +50,9 @@
 	closedByClient closeReason = "closed by the client"
 )
 
+// outsideLife is the reason of a request that came before the start or after the end.
+const outsideLife cresspass.Reason = "the dispatcher does not serve"
+
 // client is a connection of a client: the shell of what thriftfront.State knows of it.
 type client struct {
 	f     *front
@@ -318,11 +322,16 @@
 	if mutated(noOrder) {
 		v.Event.Key = ""
 	}
-	if v.Taken != nil { // posted under the lock: what its client takes back at once must come after it
-		s.acts.take(v.Taken, v.Event.Key)
-		s.loop.Post(v.Event)
+	refused := false
+	if v.Taken != nil {
+		if refused = !s.acts.take(v.Taken, v.Event.Key); !refused {
+			s.loop.Post(v.Event) // under the lock: what its client takes back at once must come after it
+		}
 	}
 	c.f.mu.Unlock()
+	if refused {
+		c.f.replyError(v.Taken.ID, thrift.Shed, 0, outsideLife)
+	}
 	if v.Bad {
 		s.unread.Add(1)
 		s.events.Add(eventlog.Event{What: eventlog.Rejected, Request: v.Ticket, Attempt: -1, Why: v.Why})
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -289,11 +289,14 @@
 	to, ok := f.state.Answer(time.Now(), id)
 	c := f.conns[to.Conn]
 	f.mu.Unlock()
+	if ok && !f.s.acts.end(q, what == eventlog.Answered) {
+		c.written(1) // nothing is
+		return false
+	}
 	if ok {
 		if mutated(secondAnswer) && what == eventlog.Answered {
 			c.send(message(to.Seq), 0)
 		}
-		f.s.acts.end(q, what == eventlog.Answered)
 		f.s.events.Add(eventlog.Event{What: what, Request: q.Ticket, Attempt: -1, Why: why})
 		c.send(message(to.Seq), 1)
 	}
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -214,6 +214,7 @@
 			}
 			s.changed("answers what is left")
 			s.front.finish()
+			s.acts.serve(false)
 		case <-look.C:
 			s.look()
 		case <-end:
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -47,6 +47,7 @@
 	loop     *dispatch.Loop
 	pool     *backend.Pool
 
+	acts       *invariant.Guard // nothing is taken, sent, repeated or answered without it
 	invariants *invariant.Counter
 	startsLock sync.Mutex
 	starts     *startclock.Clock // of engines; under startsLock
@@ -99,6 +100,7 @@
 	lastErr  string
 	note     *recording.Entry // until it has ended; nil: nothing is recorded
 	at       time.Time        // it was taken
+	until    time.Time        // its client waits no longer
 }
 
 // version is what clients are told as server_version: the release whose protocol documentation was followed.
@@ -132,6 +134,8 @@
 		addr:    ln.Addr().String(),
 		queries: map[cresspass.QueryID]*query{}, shapes: newShapes(4096), listed: make(chan struct{})}
 	s.invariants = invariant.NewCounter(log)
+	s.acts = invariant.NewGuard(invariant.RulesOf(&cfg.Module), s.invariants, nil)
+	s.acts.Serve(true)
 	s.starts = startclock.New(startclock.Every, time.Now(), s.clock())
 	s.classify.Store(classify.New(cfg))
 	s.life = fmt.Sprintf("cresspass-%d-%08x", cfg.Module.Ordinal, rand.Uint32())
@@ -367,9 +371,11 @@
 		s.end(q, verdict.Limit(why))
 		return
 	}
+	q.until = time.Now().Add(ev.TimeLeft)
 	s.mu.Lock()
 	s.queries[q.id] = q
 	s.mu.Unlock()
+	s.acts.Take(invariant.Request{ID: q.id, Class: ev.Class, Key: ev.Key, Until: q.until}, q.name())
 	if s.rest(q, &ev) {
 		return
 	}
@@ -406,13 +412,19 @@
 }
 
 // forget drops a query that is over and has no attempt without an outcome.
-func (s *Server) forget(q *query, over bool) {
+func (s *Server) forget(q *query, over bool) { s.settle(q, over, false) }
+
+// settle is forget; served: it is over with its result.
+func (s *Server) settle(q *query, over, served bool) {
 	s.mu.Lock()
 	first := over && !q.over
 	if q.over = q.over || over; q.over && len(q.attempts) == 0 {
 		delete(s.queries, q.id)
 	}
 	s.mu.Unlock()
+	if first {
+		s.acts.Answer(q.id, served, q.name())
+	}
 	if first && q.taken {
 		s.guarded.Lock()
 		s.guard.Ended(q.Front)
@@ -472,25 +484,48 @@
 
 // mayBegin looks again, in the moment in which an attempt is written: at its client, its time, and whether
 // its engine still takes new work. A session's statements go where it is kept, on a draining engine too.
-func (s *Server) mayBegin(q *query, engine cresspass.EngineID, latest time.Time) (cresspass.Outcome, bool) {
-	why, request := invariant.Verdict{Kind: invariant.Stale}, strconv.FormatUint(uint64(q.id), 10)
+func (s *Server) mayBegin(q *query, attempt int, engine cresspass.EngineID,
+	latest time.Time) (cresspass.Outcome, bool) {
+	stale := func(name invariant.Name) bool {
+		return s.acts.Judge(invariant.Verdict{Kind: invariant.Stale, Name: name}, q.name())
+	}
 	select {
 	case <-q.Answer.Ended():
-		why.Name = invariant.SentAfterEnd
-		return cresspass.Moot, s.invariants.Count(why, request)
+		return cresspass.Moot, stale(invariant.SentAfterEnd)
 	default:
 	}
+	if !time.Now().Before(latest) {
+		return cresspass.Full, stale(invariant.SentTooLate)
+	}
+	v := s.acts.Begin(q.id, attempt, s.place(q, engine), q.name())
 	switch {
-	case !time.Now().Before(latest):
-		why.Name = invariant.SentTooLate
-	case !q.Ask.Bound && !s.Lists(string(engine)):
-		why.Name = invariant.SentToDrained
-	default:
+	case v.OK(), s.cfg.Unguarded:
 		return 0, true
+	case v.Name == invariant.SentTooLate, v.Name == invariant.SentToDrained, v.Name == invariant.RepeatedLate:
+		return cresspass.Full, false // it may go elsewhere, or be refused
 	}
-	return cresspass.Full, s.invariants.Count(why, request)
+	return cresspass.Moot, false // no other engine helps
 }
 
+// place is an engine as the invariants see it. A session's statements go where it is kept.
+func (s *Server) place(q *query, engine cresspass.EngineID) invariant.Place {
+	at := invariant.Place{Engine: engine, Takes: q.Ask.Bound}
+	l := s.roster.Load()
+	if l == nil {
+		return at
+	}
+	for i := range l.Engines {
+		if e := &l.Engines[i]; e.Address == string(engine) {
+			at.Kind, at.Zone = e.Kind, e.Zone
+			at.Takes = at.Takes || e.State == roster.On
+		}
+	}
+	return at
+}
+
+// name is the query's in the log.
+func (q *query) name() string { return strconv.FormatUint(uint64(q.id), 10) }
+
 // Invariants returns how often each was violated, and how often an act was withheld that had been lawful.
 func (s *Server) Invariants() (violated, withheld map[invariant.Name]uint64) {
 	return s.invariants.Violations(), s.invariants.Withheld()
@@ -526,7 +561,7 @@
 			Note: note, Value: v})
 	}
 	latest := time.Now().Add(o.Within)
-	a.MayBegin = func() (cresspass.Outcome, bool) { return s.mayBegin(q, engine, latest) }
+	a.MayBegin = func() (cresspass.Outcome, bool) { return s.mayBegin(q, attempt, engine, latest) }
 	sent, durable := s.sending(q, engine)
 	a.Ended = func(r backend.Result) {
 		s.sentEnded(sent, r)
@@ -545,7 +580,8 @@
 		} else if r.Finished {
 			s.recorded(q, recording.Failed)
 		}
-		s.forget(q, r.Finished)
+		s.settle(q, r.Finished, r.Finished && r.Outcome == cresspass.OK)
+		s.acts.Done(id, attempt, r.Outcome)
 		s.loop.Post(ev)
 		if r.Finished {
 			q.After()
