Rehearsals fail where a dispatcher logs a violated invariant, as the soak does

Need: serve has the guard now, and its counts were read by nobody. Change: invariant.Logged reads them for both judges.

--- a/internal/invariant/counter.go
+++ b/internal/invariant/counter.go
@@ -37,7 +37,7 @@
 	counts[v.Name]++
 	c.mu.Unlock()
 	if v.Kind == Violated {
-		c.log.Error("invariant violated", "invariant", string(v.Name), "request", request,
+		c.log.Error(violatedMessage, "invariant", string(v.Name), "request", request,
 			"detail", v.Detail)
 	}
 	return false
--- a/internal/rehearse/run.go
+++ b/internal/rehearse/run.go
@@ -21,6 +21,7 @@
 	"time"
 
 	"cresspass/internal/enginemodel"
+	"cresspass/internal/invariant"
 	"cresspass/internal/rig"
 	"cresspass/internal/roster"
 	"cresspass/internal/rules"
@@ -68,6 +69,7 @@
 	Faults   map[string]int // failed tries by SQLSTATE
 	Loads    int            // keyed loads that had their effect
 	Twice    []string       // and those that had it twice within their window
+	Violated []string       // invariants, as the dispatchers logged them
 	Short    []string       // expectations beyond the rules that were missed
 	Asked    int
 	Sent     int
@@ -78,8 +80,10 @@
 	Start    time.Time
 }
 
-// Kept reports whether every rule held, and no load had its effect twice.
-func (r *Result) Kept() bool { return rules.Kept(r.Verdicts) && len(r.Twice) == 0 }
+// Kept reports whether every rule held, no load had its effect twice, and no dispatcher found a violation.
+func (r *Result) Kept() bool {
+	return rules.Kept(r.Verdicts) && len(r.Twice) == 0 && len(r.Violated) == 0
+}
 
 // Print writes the result as lines.
 func (r *Result) Print(w io.Writer) {
@@ -96,6 +100,9 @@
 	for _, v := range r.Verdicts {
 		fmt.Fprintln(w, v)
 	}
+	for _, v := range r.Violated {
+		fmt.Fprintln(w, "violation logged:", v)
+	}
 	if share, median, n := r.FirstAfter(10 * time.Second); n > 0 {
 		fmt.Fprintf(w,
 			"first 10 s after a kill: %d asked of those dispatchers, %.1f%% served, %v at the median\n", n,
@@ -786,6 +793,13 @@
 				100*want))
 		}
 	}
+	for _, p := range r.dispatchers {
+		lines, err := invariant.Logged(p.log.Name())
+		if err != nil {
+			lines = append(lines, err.Error())
+		}
+		out.Violated = append(out.Violated, lines...)
+	}
 	out.Loads, out.Twice = twice(r.rig.Group.Ran(), r.window)
 	return out
 }
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -12,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"cresspass/internal/invariant"
 )
 
 // Of a dispatcher's process.
@@ -404,18 +404,9 @@
 
 // violations returns what the dispatcher itself logged of violated invariants, and panics.
 func (d *dispatcher) violations() (lines []string) {
-	data, err := os.ReadFile(filepath.Join(d.dir, "log"))
+	lines, err := invariant.Logged(filepath.Join(d.dir, "log"))
 	if err != nil {
-		return []string{err.Error()}
-	}
-	in := bufio.NewScanner(bytes.NewReader(data))
-	in.Buffer(nil, 1<<20)
-	for in.Scan() {
-		if line := in.Text(); strings.Contains(line, "invariant violated") || strings.HasPrefix(line,
-			"panic:") ||
-			strings.HasPrefix(line, "fatal error:") {
-			lines = append(lines, line)
-		}
+		lines = append(lines, err.Error())
 	}
 	return lines
 }
