--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -48,6 +49,30 @@
 	}
 }
 
+// TestLineEnds: a stream says the same with each of the line ends that the standard knows, also where a piece
+// ends between a CR and its LF, and with a byte order mark before it.
+func TestLineEnds(t *testing.T) {
+	plain := event(1, true, server("a", "up", 0)) + ": comment\n" + event(2, false, server("a", "draining", 0))
+	for _, end := range []string{"\n", "\r\n", "\r"} {
+		for _, mark := range []string{"", "\ufeff"} {
+			stream := mark + strings.ReplaceAll(plain, "\n", end) + ": next" + end
+			for cut := range stream {
+				var p Parser
+				var ids []uint64
+				got := func(ev Event) { ids = append(ids, ev.ID) }
+				for _, piece := range []string{stream[:cut], stream[cut:]} {
+					if err := p.Feed([]byte(piece), got); err != nil {
+						t.Fatal(err)
+					}
+				}
+				if len(ids) != 2 || ids[0] != 1 || ids[1] != 2 {
+					t.Fatalf("line end %q, mark %q, cut at %d: events %v", end, mark, cut, ids)
+				}
+			}
+		}
+	}
+}
+
 // newFollower returns a Follower at 50 ms of its own and of Unix time.
 func newFollower() *Follower {
 	const now = 50 * time.Millisecond
@@ -55,6 +80,29 @@
 	return NewFollower(func() time.Duration { return now }, clock)
 }
 
+// TestClockSecondsAhead: a wall clock that is seconds ahead when the dispatcher starts makes no compute node
+// older that is told of as it starts.
+func TestClockSecondsAhead(t *testing.T) {
+	const ahead, zero, news = 5 * time.Second, time.Hour, 300 * time.Millisecond
+	truth := time.UnixMilli(1_000_000_000)
+	now := zero
+	f := NewFollower(func() time.Duration { return now }, startclock.New(startclock.Late, truth.Add(ahead), zero))
+	for i, at := range []time.Duration{10 * time.Second, 20 * time.Second} {
+		now = zero + at + news
+		var p Parser
+		started := truth.Add(at).UnixMilli()
+		p.Feed([]byte(event(i+1, false, server(fmt.Sprint("n", i), "up", started))), func(ev Event) {
+			list, _, err := f.Take(ev)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if age := now - list.Engines[0].Started; age > news+time.Second {
+				t.Errorf("started %v ago, taken for %v", news, age)
+			}
+		})
+	}
+}
+
 // FuzzBoard: whatever a notice board sends, reading it ends without a panic, and the last number never goes
 // back.
 func FuzzBoard(f *testing.F) {
--- a/internal/platform/stale_test.go
+++ b/internal/platform/stale_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -155,3 +157,28 @@
 		}
 	}
 }
+
+// TestReloadTellsWhatIsKnown: what a new configuration says of the notice board's events counts at once, also
+// while the notice board at its new address does not answer.
+func TestReloadTellsWhatIsKnown(t *testing.T) {
+	r := newRig(t, 256)
+	within(t, "discovery is asked", func() bool { return len(r.board.asked()) > 0 })
+	away, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer away.Close() // it takes connections and says nothing
+	first := r.board.list[0]
+	second := strings.Replace(strings.Replace(first, `"rev":1`, `"rev":2`, 1), `"full":true`, `"full":false`, 1)
+	second = strings.Replace(second, `"state":"up"`, `"state":"draining"`, 1)
+	data := bytes.Replace(r.config(away.Addr().String()), []byte(first), []byte(first+","+second), 1)
+	if err := os.WriteFile(r.path, data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if !r.reload() {
+		t.Fatal("the configuration was not read")
+	}
+	if !r.watch.drains("s-1") {
+		t.Error("the drain in the new configuration is not known")
+	}
+}
