A new configuration's known events count, all line ends are read, fresh news show a wrong clock

Causes: service.reload used the address of a new configuration alone; Parser.Feed knew LF and CRLF; startclock believed a clock that was less than ten minutes ahead when the process began. Change: watcher.learn takes known events at the start and at a reload; CR ends a line, a byte order mark is passed over; a start that is over 1.5 s old in news that come as they are told shows the clock's error, as far as no younger one speaks against it. Events of a stream's first half second may have been missed, and show nothing.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -18,6 +18,9 @@
 // Most is the longest event that is kept, in bytes.
 const Most = 1 << 20
 
+// byteOrderMark may stand before the first line of a stream.
+const byteOrderMark = "\ufeff"
+
 // ErrTooLong tells of an event that passes Most.
 var ErrTooLong = errors.New("discovery: an event that is too long")
 
@@ -31,6 +34,8 @@
 // Parser cuts a stream of server-sent events (WHATWG HTML, 9.2.6) into events. An event that the stream
 // breaks off in is never given out.
 type Parser struct {
+	begun bool // the first line has come
+	cr    bool // the last byte was a CR: an LF behind it ends no line
 	line  []byte
 	event Event
 	lines int
@@ -39,7 +44,12 @@
 // Feed takes bytes and calls got for each whole event; the event is valid until got returns.
 func (p *Parser) Feed(b []byte, got func(Event)) error {
 	for len(b) > 0 {
-		i := bytes.IndexByte(b, '\n')
+		if b[0] == '\n' && p.cr {
+			p.cr, b = false, b[1:]
+			continue
+		}
+		p.cr = false
+		i := bytes.IndexAny(b, "\r\n")
 		if i < 0 {
 			p.line = append(p.line, b...)
 			if len(p.line) > Most {
@@ -48,8 +58,13 @@
 			return nil
 		}
 		p.line = append(p.line, b[:i]...)
+		p.cr = b[i] == '\r'
 		b = b[i+1:]
-		if err := p.whole(bytes.TrimSuffix(p.line, []byte("\r")), got); err != nil {
+		line := p.line
+		if !p.begun {
+			p.begun, line = true, bytes.TrimPrefix(line, []byte(byteOrderMark))
+		}
+		if err := p.whole(line, got); err != nil {
 			return err
 		}
 		p.line = p.line[:0]
@@ -170,9 +185,14 @@
 	return gone
 }
 
-// Take takes an event. The list is to be handed to the module where the verdict is Taken. What can't be
-// read is an error and changes nothing.
-func (f *Follower) Take(ev Event) (cresspass.Event, Verdict, error) {
+// Take takes an event that came as it was told. The list is to be handed to the module where the verdict is
+// Taken. What can't be read is an error and changes nothing.
+func (f *Follower) Take(ev Event) (cresspass.Event, Verdict, error) { return f.take(ev, true) }
+
+// TakeMissed is Take for an event that was told some time ago, while the notice board was out of reach.
+func (f *Follower) TakeMissed(ev Event) (cresspass.Event, Verdict, error) { return f.take(ev, false) }
+
+func (f *Follower) take(ev Event, fresh bool) (cresspass.Event, Verdict, error) {
 	var n Notice
 	if err := json.Unmarshal(ev.Data, &n); err != nil {
 		return cresspass.Event{}, Gap, fmt.Errorf("discovery: event %d: %w", ev.ID, err)
@@ -180,19 +200,25 @@
 	if ev.HasID && ev.ID != n.Rev {
 		return cresspass.Event{}, Gap, fmt.Errorf("discovery: event %d says that it is %d", ev.ID, n.Rev)
 	}
+	if fresh && n.Rev == f.last+1 {
+		f.each(n, f.clock.Fresh)
+	}
 	return f.Notice(n)
 }
 
 // See takes in what the starts in a notice tell of the wall clock, and nothing else. Where several notices
 // are at hand, all are seen before the first is taken.
-func (f *Follower) See(n Notice) {
+func (f *Follower) See(n Notice) { f.each(n, f.clock.See) }
+
+// each calls see for each start in a notice.
+func (f *Follower) each(n Notice, see func(now time.Duration, id cresspass.EngineID, told time.Time)) {
 	if n.Pool == nil {
 		return
 	}
 	now := f.now()
 	for i := range n.Pool.Servers {
 		if s := &n.Pool.Servers[i]; s.Started > 0 {
-			f.clock.See(now, cresspass.EngineID(s.ID), time.UnixMilli(s.Started))
+			see(now, cresspass.EngineID(s.ID), time.UnixMilli(s.Started))
 		}
 	}
 }
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -18,7 +18,6 @@
 	"time"
 
 	"cresspass"
-	"cresspass/internal/discovery"
 	"cresspass/internal/dispatch"
 	"cresspass/internal/eventlog"
 	"cresspass/internal/invariant"
@@ -113,20 +112,8 @@
 	b := newBudget(sockets)
 	s.pool = newPool(s.system, b, cfg.ConnectTimeout, cfg.ConnIdle)
 	s.watch = newWatcher(s, cfg.Board)
-	for _, n := range cfg.Known.Notices {
-		s.watch.follower.See(n)
-	}
-	for _, n := range cfg.Known.Notices {
-		ev, v, err := s.watch.follower.Notice(n)
-		if err != nil {
-			return nil, err
-		}
-		if v == discovery.Taken {
-			if ev.Listing == cresspass.ListFull {
-				ev.Listing = cresspass.ListCached
-			}
-			s.loop.Post(ev)
-		}
+	if err := s.watch.learn(cfg.Known.Notices); err != nil {
+		return nil, err
 	}
 	ln, err := listen.OpenWith(cfg.Listen, s.system.listen)
 	if err != nil {
@@ -244,6 +231,10 @@
 	if !mutated(deafToReload) {
 		s.watch.move(cfg.Board)
 	}
+	// Danger: the discovery at its new address may be slow, and what the file knows counts as told.
+	if err := s.watch.learn(cfg.Known.Notices); err != nil {
+		s.log.Error("known events of the configuration left out", "error", err)
+	}
 	now, then := cfg.Module, s.cfg.Module
 	now.Seed = then.Seed // new in each file
 	if cfg.Listen != s.cfg.Listen || cfg.Limits != s.cfg.Limits || !reflect.DeepEqual(now, then) {
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -26,6 +26,7 @@
 	elderMost  = 5 * time.Second         // for the answer to a call, while others are made beside it
 	boardAgain = 50 * time.Millisecond   // before the notice board is asked again, see discovery.Backoff
 	boardMost  = 400 * time.Millisecond
+	missedFor  = 500 * time.Millisecond // events that come so soon in a stream may have been told long ago
 )
 
 // watcher keeps asking the notice board and hands what it tells to the module.
@@ -38,6 +39,7 @@
 
 	mu       sync.Mutex
 	follower *discovery.Follower
+	heard    bool // the notice board itself told something
 	at       string
 	cancel   context.CancelFunc // of all that goes on at this address
 }
@@ -98,6 +100,29 @@
 	}
 }
 
+// learn takes what a configuration knows of the notice board's events. What was told already is passed over.
+func (w *watcher) learn(known []discovery.Notice) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range known {
+		w.follower.See(n)
+	}
+	for _, n := range known {
+		list, v, err := w.follower.Notice(n)
+		if err != nil {
+			return err
+		}
+		if v != discovery.Taken {
+			continue
+		}
+		if list.Listing == cresspass.ListFull && !w.heard {
+			list.Listing = cresspass.ListCached
+		}
+		w.s.loop.Post(list)
+	}
+	return nil
+}
+
 // startsByWall is what the mutant makes of starts: their age by the wall clock of the moment.
 func (w *watcher) startsByWall(engines []cresspass.EngineInfo) {
 	ahead := time.Until(w.s.system.wall())
@@ -313,6 +338,7 @@
 	defer stop()
 	var p discovery.Parser
 	b := make([]byte, 8<<10)
+	begun := time.Now()
 	for {
 		if !extend(s.ctx, s.net, quietMost) {
 			return true, s.ctx.Err()
@@ -324,7 +350,7 @@
 		var bad error
 		if e := p.Feed(b[:n], func(ev discovery.Event) {
 			if bad == nil {
-				bad = w.take(ev)
+				bad = w.take(ev, time.Since(begun) < missedFor)
 			}
 		}); bad == nil {
 			bad = e
@@ -342,16 +368,21 @@
 	}
 }
 
-// take hands an event on.
-func (w *watcher) take(ev discovery.Event) error {
+// take hands an event on; missed: it may have been told long ago.
+func (w *watcher) take(ev discovery.Event, missed bool) error {
 	w.mu.Lock()
-	list, v, err := w.follower.Take(ev)
+	take := w.follower.Take
+	if missed {
+		take = w.follower.TakeMissed
+	}
+	list, v, err := take(ev)
 	if mutated(wallClock) {
 		w.startsByWall(list.Engines)
 	}
 	gone := w.follower.Gone()
 	// Danger: posted under the lock, or lists of two calls could cross.
 	if err == nil && v == discovery.Taken {
+		w.heard = true
 		w.s.loop.Post(list)
 	}
 	w.mu.Unlock()
--- a/internal/startclock/startclock.go
+++ b/internal/startclock/startclock.go
@@ -15,13 +15,16 @@
 // changes nothing. A clock that was wrong already at that moment shows in the ages that it gives. No node
 // can be told before it started, so a start that lies ahead shows how far the clock is behind at least.
 // Where only late starts are told (Late), one that is told first when it is very old shows that the clock
-// is ahead; the least age is then taken for the error, which makes a node look younger than it is, never
-// older. An error of seconds ahead is not told from news that come late.
+// is ahead, and so does one that is some seconds old when the news of its start comes as it is told (Fresh). The
+// least age is then taken for the error, which makes a node look younger than it is, never older: news that
+// come late by as much look the same.
 type Clock struct {
 	zero   time.Time     // wall clock...
 	at     time.Duration // ...at this monotonic time
 	least  time.Duration // the least age that was seen of a node when it was told
 	seen   bool          // least is set
+	fresh  time.Duration // the least age that was seen of a node by news that came as they were told
+	news   bool          // fresh is set
 	kind   Source
 	starts map[cresspass.EngineID]start
 }
@@ -39,6 +42,9 @@
 // do not take so long.
 const aheadLeast = 10 * time.Minute
 
+// freshMost is the age at fresh news from which it is the clock that is wrong, or the news are.
+const freshMost = 1500 * time.Millisecond
+
 // aheadMost is how far ahead of the wall clock a start may lie to tell anything of that clock. What lies
 // further ahead is no start that a clock could show, and counts as now.
 const aheadMost = 24 * time.Hour
@@ -65,6 +71,16 @@
 	}
 }
 
+// Fresh takes in that a node was told to have started, by news that came as they were told.
+func (c *Clock) Fresh(now time.Duration, id cresspass.EngineID, told time.Time) {
+	if c.starts[id].told.Equal(told) {
+		return
+	}
+	if age := c.age(now, told); age > -aheadMost && (!c.news || age < c.fresh) {
+		c.fresh, c.news = age, true
+	}
+}
+
 // Started returns the monotonic time of a node's start, the same each time that the same start is told. It is
 // after zero and not after now.
 func (c *Clock) Started(now time.Duration, id cresspass.EngineID, told time.Time) time.Duration {
@@ -79,8 +95,11 @@
 
 // error is how far the wall clock is taken to be ahead; negative: behind.
 func (c *Clock) error() time.Duration {
-	if c.least < 0 || c.kind == Late && c.least > aheadLeast {
+	switch {
+	case c.least < 0, c.kind == Late && c.least > aheadLeast:
 		return c.least
+	case c.kind == Late && c.news && c.fresh > freshMost:
+		return min(c.fresh, c.least) // one that is younger by this clock bounds its error
 	}
 	return 0
 }
--- a/internal/startclock/startclock_test.go
+++ b/internal/startclock/startclock_test.go
@@ -41,3 +41,28 @@
 		}
 	})
 }
+
+// TestFreshNews: where a wall clock is seconds or minutes ahead, no node is taken to be older than it is when the
+// news of its start come as they are told; one that is young by this clock shows that the clock is right.
+func TestFreshNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		truth := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		ahead := time.Duration(rapid.Int64Range(int64(freshMost), int64(aheadLeast)).Draw(t, "ahead"))
+		c := New(Late, truth.Add(ahead), time.Hour)
+		for i := range 10 {
+			now := time.Hour + time.Duration(i)*time.Second
+			delay := time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "delay"))
+			id, told := cresspass.EngineID(fmt.Sprint(i)), truth.Add(now-time.Hour-delay)
+			c.Fresh(now, id, told)
+			if got := c.Started(now, id, told); got < now-delay || got > now {
+				t.Fatalf("started %v ago, taken for %v", delay, now-got)
+			}
+		}
+	})
+	c := New(Late, time.Unix(1000, 0), time.Hour)
+	c.Fresh(time.Hour, "late news", time.Unix(995, 0))
+	c.See(time.Hour, "young", time.Unix(1000, 0))
+	if got := c.Started(time.Hour, "old", time.Unix(990, 0)); got != time.Hour-10*time.Second {
+		t.Errorf("a clock that is right: 10 s taken for %v", time.Hour-got)
+	}
+}
