Failing tests: a stall between look and take, answers that came during a stall

The reader had asked for the wait before the stop and took the request after it. From reading: a compute node's answer that lies there at its time-out, by a stall, is asked for again: 8 of 8.

--- a/internal/platform/busy_test.go
+++ b/internal/platform/busy_test.go
@@ -158,3 +158,63 @@
 		t.Errorf("the next one: told %d ms of 2000", ms)
 	}
 }
+
+// TestStallBetweenLookAndTake: the time in which a request was seen, and not yet taken because the process did
+// not run, counts as waited.
+func TestStallBetweenLookAndTake(t *testing.T) {
+	const stalled, slack = 500, 150 // milliseconds
+	var told atomic.Int64
+	r := newRig(t, 256)
+	r.node.set(func(_ http.ResponseWriter, q *http.Request, call, _ string) bool {
+		if call == "POST" {
+			ms, _ := strconv.ParseInt(q.Header.Get("X-Max-Ms"), 10, 64)
+			told.Store(ms)
+		}
+		return false
+	})
+	a := r.dial()
+	a.served(1, 1)
+	r.front.mu.Lock()
+	seq := a.ask(fields(ticket(2), "quick", "2000"))
+	time.Sleep(50 * time.Millisecond) // its reader has seen it
+	r.stalls.mu.Lock()
+	time.Sleep(stalled * time.Millisecond)
+	r.stalls.mu.Unlock()
+	r.front.mu.Unlock()
+	if h := a.hear(); h.kind != "answer" || h.seq != seq {
+		t.Errorf("%+v", h)
+	}
+	if ms := told.Load(); ms > 2000-stalled+slack {
+		t.Errorf("told %d ms of 2000 after a stall of %d", ms, stalled)
+	}
+}
+
+// TestAnswerComesWhileStopped: an answer that came while the process did not run is read, however long ago its
+// time-out was; nothing is asked again.
+func TestAnswerComesWhileStopped(t *testing.T) {
+	const queries = 8
+	p := startProgram(t, func(r *rig) {
+		r.node.set(func(_ http.ResponseWriter, _ *http.Request, call, _ string) bool {
+			if call == "POST" {
+				time.Sleep(150 * time.Millisecond)
+			}
+			return false
+		})
+	})
+	a := p.dial()
+	for n := range queries {
+		a.ask(fields(ticket(n+1), "quick", "3000"))
+	}
+	within(t, "all are sent", func() bool { return p.rig.node.count("POST") == queries })
+	p.cmd.Process.Signal(syscall.SIGSTOP)
+	time.Sleep(800 * time.Millisecond)
+	p.cmd.Process.Signal(syscall.SIGCONT)
+	for range queries {
+		if h := a.hear(); h.kind != "answer" {
+			t.Errorf("%+v", h)
+		}
+	}
+	if n := p.rig.node.count("GET"); n != 0 {
+		t.Errorf("%d of %d answers were asked for again", n, queries)
+	}
+}
