Stalls count up to the take; what came before a time-out is read after it

Causes: client.await asked the stall meter before a message was read, client.take used it after; Go's poller fails a read past its deadline without a look, so that a stall of the process turned each answer under way into a lost one. An idle connection is not used for an address that its compute node has left.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -161,7 +161,6 @@
 			}
 			return got != syscall.EAGAIN
 		})
-		c.late = max(c.late, c.f.s.stalls.waited(c.empty))
 		switch {
 		case err != nil:
 			return err
@@ -211,27 +210,14 @@
 	return c.f.state.Begin(time.Now(), c.id)
 }
 
-// patience is how long the client may take, unless its connection was retired.
-func (c *client) patience(d time.Duration) {
+// patience is how long the client may take. It returns false where the connection was retired.
+func (c *client) patience(d time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.ending {
 		c.net.SetReadDeadline(time.Now().Add(d))
 	}
-}
-
-// lateReader reads from a client's connection. Danger: on a full core a deadline may pass over bytes that came
-// before it, and a read after a deadline does not look for them. What is there by then is read all the same.
-type lateReader struct{ c *client }
-
-func (r lateReader) Read(b []byte) (int, error) {
-	n, err := r.c.net.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && r.c.unread() {
-		r.c.patience(readerMost)
-		n, err = r.c.net.Read(b)
-		r.c.patience(0)
-	}
-	return n, err
+	return !c.ending
 }
 
 // overdue has the state judge a connection on which nothing more came in time. It reports whether it ends.
@@ -317,6 +303,7 @@
 func (c *client) take(frame []byte) bool {
 	s, m := c.f.s, c.f.state.Read(frame)
 	c.f.mu.Lock()
+	c.late = max(c.late, s.stalls.waited(c.empty)) // danger: asked earlier, a stall since then would not count
 	v := c.f.state.Message(time.Now().Add(-c.late), c.id, m)
 	v.Event.TimeLeft -= c.late
 	if mutated(noOrder) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -137,7 +137,7 @@
 			continue
 		}
 		cl := &client{f: f, net: c}
-		cl.in = bufio.NewReaderSize(lateReader{cl}, readAhead)
+		cl.in = bufio.NewReaderSize(&lateReader{net: c, unread: cl.unread, extend: cl.patience}, readAhead)
 		if cl.raw, err = c.SyscallConn(); err != nil {
 			c.Close()
 			continue
--- a/internal/platform/pool.go
+++ b/internal/platform/pool.go
@@ -20,6 +20,9 @@
 // copy of an answer, which would be taken for the answer to the next query's call.
 const restFor = 20 * time.Millisecond
 
+// readBuffer is the size of a connection's buffer for answers, in bytes. A head has to fit.
+const readBuffer = 4 << 10
+
 // sparse is the part of ConnIdle after which an idle connection is closed by us, before the compute node
 // does.
 const sparse = 0.6
@@ -77,13 +80,24 @@
 	if c.in.Buffered() > 0 {
 		return false, true
 	}
+	return c.peek()
+}
+
+// unread reports whether something is there to be read.
+func (c *nodeConn) unread() bool {
+	_, said := c.peek()
+	return said
+}
+
+// peek is look for what is in the socket.
+func (c *nodeConn) peek() (silent, said bool) {
 	// Danger: raw.Read would fail where the last call's deadline is over, and every connection that was
 	// idle for long would look dead.
 	err := c.raw.Control(func(fd uintptr) {
 		n, err := c.system.peek(fd)
 		silent, said = err == syscall.EAGAIN, err == nil && n > 0
 	})
-	return err == nil && silent, said
+	return silent && err == nil, said && err == nil
 }
 
 // call sends a request and reads its answer.
@@ -169,7 +183,7 @@
 		p.reused++
 		p.mu.Unlock()
 		silent, said := c.look()
-		if silent {
+		if silent && c.addr == w.addr { // else it has moved
 			return c, nil
 		}
 		if said {
@@ -294,8 +308,10 @@
 		return nil, err
 	}
 	p.last++
-	return &nodeConn{number: p.last, engine: w.engine, addr: w.addr, net: c, raw: raw,
-		system: p.system, in: bufio.NewReaderSize(c, 4096)}, nil
+	conn := &nodeConn{number: p.last, engine: w.engine, addr: w.addr, net: c, raw: raw, system: p.system}
+	late := &lateReader{net: c, unread: conn.unread, extend: conn.begin}
+	conn.in = bufio.NewReaderSize(late, readBuffer)
+	return conn, nil
 }
 
 // put gives a connection back; good: its last answer was whole and leaves it open.
