--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -21,7 +21,11 @@
 	shortShare   = 0.05 // requests with very little time
 	longShare    = 0.1  // requests with more time than a shutdown takes
 	longMost     = 8 * time.Second
-	freshShare   = 0.2 // requests on a new connection
+	freshShare   = 0.2                    // requests on a new connection
+	slowShare    = 0.03                   // requests whose second half comes later...
+	slowMost     = 250 * time.Millisecond // ...by so much at most
+	restsFor     = 15 * time.Second       // a dispatcher ends a connection that rests so long...
+	restsAround  = 60 * time.Millisecond  // ...and a request comes so long before or after that at most
 	keysOfClient = 3
 	frameMost    = 1 << 20
 )
@@ -77,6 +81,9 @@
 		limit = time.Duration(10+s.random.IntN(80)) * time.Millisecond
 	}
 	r := request{ticket: fmt.Sprintf("%016x", s.random.Uint64()), class: class, limit: limit}
+	if s.random.Float64() < slowShare {
+		r.halves = time.Duration(s.random.Int64N(int64(slowMost)))
+	}
 	if class.inOrder {
 		r.key = fmt.Sprintf("d%d-k%d", s.d.index, s.random.IntN(keysOfClient))
 	}
@@ -129,7 +136,8 @@
 	ticket, key, nonce string
 	class              class
 	limit              time.Duration
-	again              bool // it crossed a close before
+	again              bool          // it crossed a close before
+	halves             time.Duration // between its first half and its second; 0: it is written at once
 	stranger           bool
 }
 
@@ -185,7 +193,7 @@
 		a.sent = time.Now()
 	})
 	c.d.remember(r)
-	_, err := c.net.Write(dispatchMessage(seq, fields, "SELECT 1 FROM sales_3.orders"))
+	err := c.write(dispatchMessage(seq, fields, "SELECT 1 FROM sales_3.orders"), r.halves)
 	c.sent[r.ticket] = time.Now()
 	c.d.fleet.oracle.change(r.ticket, func(a *asked) {
 		if a.sent = time.Now(); err != nil {
@@ -195,6 +203,44 @@
 	return err == nil
 }
 
+// write writes a message, in two halves with a time between them.
+func (c *clientConn) write(message []byte, between time.Duration) error {
+	if between > 0 {
+		half := len(message) / 2
+		if _, err := c.net.Write(message[:half]); err != nil {
+			return err
+		}
+		time.Sleep(between)
+		message = message[half:]
+	}
+	_, err := c.net.Write(message)
+	return err
+}
+
+// rest asks, rests until the dispatcher is about to end the connection, and asks again, until stop is closed.
+func (s *sender) rest(stop <-chan struct{}) {
+	for {
+		if c := s.d.connect(); c != nil && s.d.takesNew() {
+			for range 2 {
+				c.send(request{ticket: fmt.Sprintf("%016x", s.random.Uint64()), class: classes[0],
+					limit: time.Second})
+				around := time.Duration(s.random.Int64N(int64(2*restsAround))) - restsAround
+				select {
+				case <-stop:
+					return
+				case <-time.After(restsFor + around):
+				}
+			}
+			c.leave(false)
+		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+		}
+	}
+}
+
 // cancel takes a request back, if it is open.
 func (c *clientConn) cancel(ticket string) {
 	c.mu.Lock()
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -78,6 +78,9 @@
 	work    sync.WaitGroup
 }
 
+// resters is how many clients of a dispatcher rest until it ends their connections.
+const resters = 3
+
 // Of troubles.
 const (
 	idleReset = 150 * time.Millisecond  // between resets of resting connections
@@ -123,6 +126,10 @@
 	for _, d := range f.dispatchers {
 		s := &sender{d: d, random: rand.New(rand.NewPCG(c.Plan.Seed, uint64(d.index)+1))}
 		f.work.Go(func() { s.run(c.Plan.Rate, sending) })
+		for i := range resters {
+			resting := &sender{d: d, random: rand.New(rand.NewPCG(c.Plan.Seed, uint64(d.index*resters+i)<<32))}
+			f.work.Go(func() { resting.rest(sending) })
+		}
 	}
 	f.play(ctx)
 	close(sending)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -17,6 +18,8 @@
 	unaskedBy = 2 * time.Second        // a query that nobody asks for is given up
 	copyLeast = 2 * time.Millisecond   // after which an answer comes a second time
 	copyMost  = 120 * time.Millisecond
+
+	hardlyTime = 40 // milliseconds: a query that has less is dropped without a word
 )
 
 // run is a query on a compute node.
@@ -159,6 +162,10 @@
 	n.mu.Unlock()
 	parts := strings.Split(strings.Trim(q.URL.Path, "/"), "/")
 	ticket := q.Header.Get("X-Ticket")
+	if limit, err := strconv.Atoi(q.Header.Get("X-Max-Ms")); err == nil && limit < hardlyTime {
+		<-q.Context().Done() // dropped without a word
+		return
+	}
 	var r *run
 	if q.Method == "POST" && !full { // it is out from here on, also while the node hangs
 		r = n.register(ticket, q.Header.Get("X-Queue"))
