--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -190,7 +190,7 @@
 	if suspect {
 		a.doubted = f
 	}
-	return !suspect
+	return !suspect || mutated(believeCopies)
 }
 
 // mayBegin looks again, in the moment in which the query is written. Danger: since the module decided, the
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -309,6 +309,9 @@
 	f.mu.Lock()
 	c := f.conns[q.Conn]
 	f.mu.Unlock()
+	if mutated(noClientLook) {
+		c = nil
+	}
 	for begun := time.Now(); c != nil; time.Sleep(lookAgain) {
 		switch c.look() {
 		case lookClosed:
--- a/internal/platform/mutant.go
+++ b/internal/platform/mutant.go
@@ -21,4 +21,7 @@
 	noOrder         mutant = "no-order"       // keys are not read
 	noEnding        mutant = "no-ending"      // nothing is answered because the dispatcher ends
 	lostCancel      mutant = "lost-cancel"    // cancels are not read
+	believeCopies   mutant = "believe-copies" // every answer is taken for that of the last call
+	noStalls        mutant = "no-stalls"      // what is read has just come
+	noClientLook    mutant = "no-client-look" // a client is there as long as the books know it
 )
--- a/internal/platform/stalls.go
+++ b/internal/platform/stalls.go
@@ -38,6 +38,9 @@
 
 // waited returns how long something that is read now may have lain there, if there was nothing at since.
 func (s *stalls) waited(since time.Duration) time.Duration {
+	if mutated(noStalls) {
+		return 0
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.meter.Waited(s.clock(), since)
