--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -180,8 +180,13 @@
 	// The first moments of a trouble are those in which it crosses the most.
 	within := min(first.For, time.Duration(r.ExpFloat64()*float64(250*time.Millisecond)))
 	t := draw(r, p, faults, first.At+within)
-	if first.Kind == NodesHang {
+	switch first.Kind {
+	case NodesHang:
 		t.Kind, t.Dispatcher = Terminate, r.IntN(p.Dispatchers)
+	case Pause: // what clients take back meanwhile lies unread when the process goes on
+		t.Kind, t.Dispatcher = []Kind{ClientsLeave, ClientsTake}[r.IntN(2)], first.Dispatcher
+		t.At = first.At + time.Duration(r.Float64()*float64(first.For))
+		return t
 	}
 	if r.IntN(4) > 0 {
 		t.Node = first.Node
