--- a/cmd/cresspass/main.go
+++ b/cmd/cresspass/main.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// untilToldToEnd returns the context of the commands that take one: it ends with SIGINT or SIGTERM. Danger: for
-// a dispatcher it must not be made. It takes those signals, and one that comes before the dispatcher itself
-// listens for them would be lost.
+// untilToldToEnd returns the context of the commands that take one: it ends with SIGINT or SIGTERM. Danger:
+// for a dispatcher it must not be made. It takes those signals, and one that comes before the dispatcher
+// itself listens for them would be lost.
 func untilToldToEnd() (context.Context, error) {
 	ctx, _ := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	return ctx, nil
--- a/internal/backend/begin_test.go
+++ b/internal/backend/begin_test.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// TestLookAgainBehindSettings: a query that waits until its engine has taken the session's settings is not sent
-// where it may not begin any more by then, and its connection goes on with those settings.
+// TestLookAgainBehindSettings: a query that waits until its engine has taken the session's settings is not
+// sent where it may not begin any more by then, and its connection goes on with those settings.
 func TestLookAgainBehindSettings(t *testing.T) {
 	near, far := net.Pipe()
 	defer near.Close()
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -173,8 +173,8 @@
 	return true
 }
 
-// mayBegin asks once more whether an attempt may begin whose request was held back. Where not, the attempt ends
-// and the connection, on which nothing of it was sent, is free.
+// mayBegin asks once more whether an attempt may begin whose request was held back. Where not, the attempt
+// ends and the connection, on which nothing of it was sent, is free.
 func (c *conn) mayBegin(a *Attempt) bool {
 	outcome, ok := a.mayBegin()
 	if ok {
--- a/internal/computenode/computenode.go
+++ b/internal/computenode/computenode.go
@@ -253,8 +253,8 @@
 		Pause: min(againFirst<<min(m.bad-1, 8), againMost)}
 }
 
-// givenUp reports whether an answer to a Delete shows that the query is over: it was given up, or is not known.
-// Danger: an answer that no Delete gets may be a copy of an earlier one.
+// givenUp reports whether an answer to a Delete shows that the query is over: it was given up, or is not
+// known. Danger: an answer that no Delete gets may be a copy of an earlier one.
 func givenUp(r *nodehttp.Answer) bool {
 	return r.Status == http.StatusNoContent || r.Status == http.StatusInternalServerError
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -255,8 +255,8 @@
 	Peers        PeerSettings
 	Record       string // folder; "": nothing is recorded
 	RecordLimits recording.Limits
-	// violated invariants are counted, and the act goes through: for the rehearsal kit, whose judge has to see
-	// what a decider breaks
+	// violated invariants are counted, and the act goes through: for the rehearsal kit, whose judge has to
+	// see what a decider breaks
 	Unguarded      bool
 	FlightListener net.Listener // taken over from a former dispatcher; nil: one is opened
 	Listen         string
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -52,7 +52,8 @@
 // TestLineEnds: a stream says the same with each of the line ends that the standard knows, also where a piece
 // ends between a CR and its LF, and with a byte order mark before it.
 func TestLineEnds(t *testing.T) {
-	plain := event(1, true, server("a", "up", 0)) + ": comment\n" + event(2, false, server("a", "draining", 0))
+	plain := event(1, true, server("a", "up", 0)) + ": comment\n" +
+		event(2, false, server("a", "draining", 0))
 	for _, end := range []string{"\n", "\r\n", "\r"} {
 		for _, mark := range []string{"", "\ufeff"} {
 			stream := mark + strings.ReplaceAll(plain, "\n", end) + ": next" + end
@@ -86,7 +87,8 @@
 	const ahead, zero, news = 5 * time.Second, time.Hour, 300 * time.Millisecond
 	truth := time.UnixMilli(1_000_000_000)
 	now := zero
-	f := NewFollower(func() time.Duration { return now }, startclock.New(startclock.Late, truth.Add(ahead), zero))
+	clock := startclock.New(startclock.Late, truth.Add(ahead), zero)
+	f := NewFollower(func() time.Duration { return now }, clock)
 	for i, at := range []time.Duration{10 * time.Second, 20 * time.Second} {
 		now = zero + at + news
 		var p Parser
--- a/internal/invariant/guard.go
+++ b/internal/invariant/guard.go
@@ -58,7 +58,8 @@
 	return g.Judge(v, name)
 }
 
-// Answer enters a request's one end. Where it returns false, nothing may be answered. served: with its result.
+// Answer enters a request's one end. Where it returns false, nothing may be answered. served: with its
+// result.
 func (g *Guard) Answer(id cresspass.QueryID, served bool, name string) bool {
 	g.mu.Lock()
 	v := g.ledger.Answer(id, served)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -19,8 +19,8 @@
 	failedMost  = 16                    // accepts in a row that fail by their connections, without a pause
 )
 
-// Open listens at a TCP address. Where the machine fails for a moment, or the address is yet held by a process
-// that ends, it tries again for a while.
+// Open listens at a TCP address. Where the machine fails for a moment, or the address is yet held by a
+// process that ends, it tries again for a while.
 func Open(addr string) (net.Listener, error) {
 	return OpenWith(addr, func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) })
 }
--- a/internal/platform/busy_test.go
+++ b/internal/platform/busy_test.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// TestStallBetweenLookAndTake: the time in which a request was seen, and not yet taken because the process did
-// not run, counts as waited.
+// TestStallBetweenLookAndTake: the time in which a request was seen, and not yet taken because the process
+// did not run, counts as waited.
 func TestStallBetweenLookAndTake(t *testing.T) {
 	const stalled, slack = 500, 150 // milliseconds
 	var told atomic.Int64
@@ -189,8 +189,8 @@
 	}
 }
 
-// TestAnswerComesWhileStopped: an answer that came while the process did not run is read, however long ago its
-// time-out was; nothing is asked again.
+// TestAnswerComesWhileStopped: an answer that came while the process did not run is read, however long ago
+// its time-out was; nothing is asked again.
 func TestAnswerComesWhileStopped(t *testing.T) {
 	const queries = 8
 	p := startProgram(t, func(r *rig) {
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -303,7 +303,8 @@
 func (c *client) take(frame []byte) bool {
 	s, m := c.f.s, c.f.state.Read(frame)
 	c.f.mu.Lock()
-	c.late = max(c.late, s.stalls.waited(c.empty)) // danger: asked earlier, a stall since then would not count
+	// Danger: asked earlier, a stall since then would not count.
+	c.late = max(c.late, s.stalls.waited(c.empty))
 	v := c.f.state.Message(time.Now().Add(-c.late), c.id, m)
 	v.Event.TimeLeft -= c.late
 	if mutated(noOrder) {
--- a/internal/platform/front.go
+++ b/internal/platform/front.go
@@ -303,8 +303,8 @@
 	return ok
 }
 
-// awaited reports whether a request's client still waits for it, by what lies in its socket. Danger: on a full
-// core the reader of a close or a cancel may come after the attempt that it forbids.
+// awaited reports whether a request's client still waits for it, by what lies in its socket. Danger: on a
+// full core the reader of a close or a cancel may come after the attempt that it forbids.
 func (f *front) awaited(q *thriftfront.Request) bool {
 	f.mu.Lock()
 	c := f.conns[q.Conn]
--- a/internal/platform/latereader.go
+++ b/internal/platform/latereader.go
@@ -10,9 +10,9 @@
 // lateMost is how long what came before a deadline may be read after it.
 const lateMost = 20 * time.Millisecond
 
-// lateReader reads from a connection with deadlines. Danger: on a full core a deadline may pass over bytes that
-// came before it, and a read after a deadline does not look for them. What is there by then is read all the
-// same, for a moment.
+// lateReader reads from a connection with deadlines. Danger: on a full core a deadline may pass over bytes
+// that came before it, and a read after a deadline does not look for them. What is there by then is read
+// all the same, for a moment.
 type lateReader struct {
 	net    net.Conn
 	unread func() bool                 // something is there
--- a/internal/platform/stale_test.go
+++ b/internal/platform/stale_test.go
@@ -169,8 +169,8 @@
 	}
 	defer away.Close() // it takes connections and says nothing
 	first := r.board.list[0]
-	second := strings.Replace(strings.Replace(first, `"rev":1`, `"rev":2`, 1), `"full":true`, `"full":false`, 1)
-	second = strings.Replace(second, `"state":"up"`, `"state":"draining"`, 1)
+	second := strings.NewReplacer(`"rev":1`, `"rev":2`, `"full":true`, `"full":false`, `"state":"up"`,
+		`"state":"draining"`).Replace(first)
 	data := bytes.Replace(r.config(away.Addr().String()), []byte(first), []byte(first+","+second), 1)
 	if err := os.WriteFile(r.path, data, 0o600); err != nil {
 		t.Fatal(err)
--- a/internal/server/accept_test.go
+++ b/internal/server/accept_test.go
@@ -34,8 +34,8 @@
 // TestFrontsOutliveFailedAccepts: an accept that fails by the machine, or by the connection that it was to
 // take, ends no front.
 func TestFrontsOutliveFailedAccepts(t *testing.T) {
-	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS, syscall.EPROTO,
-		syscall.ENOMEM} {
+	for _, errno := range []syscall.Errno{syscall.ECONNABORTED, syscall.ENFILE, syscall.ENOBUFS,
+		syscall.EPROTO, syscall.ENOMEM} {
 		t.Run(errno.Error(), func(t *testing.T) {
 			var lns []*failingListener
 			for range 2 {
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -259,7 +259,8 @@
 	}
 }
 
-// after tells when so much time has passed in which the process ran, from when it had been paused for so long.
+// after tells when so much time has passed in which the process ran, from when it had been paused for so
+// long.
 func (d *dispatcher) after(wait, paused time.Duration) <-chan time.Time {
 	over := make(chan time.Time, 1)
 	go func() {
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -127,7 +127,8 @@
 		s := &sender{d: d, random: rand.New(rand.NewPCG(c.Plan.Seed, uint64(d.index)+1))}
 		f.work.Go(func() { s.run(c.Plan.Rate, sending) })
 		for i := range resters {
-			resting := &sender{d: d, random: rand.New(rand.NewPCG(c.Plan.Seed, uint64(d.index*resters+i)<<32))}
+			number := uint64(d.index*resters+i) << 32
+			resting := &sender{d: d, random: rand.New(rand.NewPCG(c.Plan.Seed, number))}
 			f.work.Go(func() { resting.rest(sending) })
 		}
 	}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -1,5 +1,6 @@
 // Package stall tells how long something that is read now may have lain unread because the process did not
-// run: its core was full, or it was stopped. A Meter is fed by a heartbeat. It does no I/O and reads no clock.
+// run: its core was full, or it was stopped. A Meter is fed by a heartbeat. It does no I/O and reads no
+// clock.
 package stall
 
 import "time"
--- a/internal/startclock/startclock.go
+++ b/internal/startclock/startclock.go
@@ -15,9 +15,9 @@
 // changes nothing. A clock that was wrong already at that moment shows in the ages that it gives. No node
 // can be told before it started, so a start that lies ahead shows how far the clock is behind at least.
 // Where only late starts are told (Late), one that is told first when it is very old shows that the clock
-// is ahead, and so does one that is some seconds old when the news of its start comes as it is told (Fresh). The
-// least age is then taken for the error, which makes a node look younger than it is, never older: news that
-// come late by as much look the same.
+// is ahead, and so does one that is some seconds old when the news of its start comes as it is told
+// (Fresh). The least age is then taken for the error, which makes a node look younger than it is, never
+// older: news that come late by as much look the same.
 type Clock struct {
 	zero   time.Time     // wall clock...
 	at     time.Duration // ...at this monotonic time
--- a/internal/startclock/startclock_test.go
+++ b/internal/startclock/startclock_test.go
@@ -42,8 +42,9 @@
 	})
 }
 
-// TestFreshNews: where a wall clock is seconds or minutes ahead, no node is taken to be older than it is when the
-// news of its start come as they are told; one that is young by this clock shows that the clock is right.
+// TestFreshNews: where a wall clock is seconds or minutes ahead, no node is taken to be older than it is
+// when the news of its start come as they are told; one that is young by this clock shows that the clock is
+// right.
 func TestFreshNews(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		truth := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
