Failing test: the ledger's budget forgets nothing while nothing is sent again

From reading the change once more: Ledger.Answer adds a time for each request served, and only budgetLeft, asked before a further attempt, drops old ones.

--- a/internal/invariant/ledger_test.go
+++ b/internal/invariant/ledger_test.go
@@ -145,3 +145,21 @@
 		}
 	})
 }
+
+// TestBudgetForgets: what is kept for the budget is bounded by its look-back, also where nothing is ever sent
+// again.
+func TestBudgetForgets(t *testing.T) {
+	rules := rules()
+	rules.Budget = Budget{On: true, Share: 0.1, LookBack: time.Second}
+	l := NewLedger(rules)
+	l.Serve(true)
+	for i := range 5000 {
+		now := t0.Add(time.Duration(i) * 10 * time.Millisecond)
+		id := cresspass.QueryID(i + 1)
+		l.Take(now, Request{ID: id, Class: "safe", Until: now.Add(time.Second)})
+		l.Answer(id, true)
+	}
+	if n := len(l.served); n > 1000 {
+		t.Errorf("%d requests are kept of the last second's 100", n)
+	}
+}
