The ledger forgets served requests that count for no further attempt any more

Cause: Ledger.Answer, see the failing test. Change: what is older than the youngest by the budget's look-back goes as one comes.

--- a/internal/invariant/ledger.go
+++ b/internal/invariant/ledger.go
@@ -108,6 +108,8 @@
 	if served && l.rules.Budget.On {
 		at, _ := slices.BinarySearchFunc(l.served, r.taken, time.Time.Compare)
 		l.served = slices.Insert(l.served, at, r.taken)
+		// Those that are too old for the youngest count for no further attempt to come.
+		l.served = after(l.served, l.served[len(l.served)-1].Add(-l.rules.Budget.LookBack))
 	}
 	l.drop(r)
 	return Verdict{}
