Peers are judged by the engines that are known here

Callers: an honest peer that knew more engines was not heard for 30 s, so queries went to engines that it had filled.

Cause: validateSent, validateReport and the comparison of sums added up loads of all tags and held them against the cores of known engines; of two engines with one tag only one was kept, drawn by a map's order.

Fix: loads are compared on known engines; those on others have a bound of their own that blocks nobody; engines of one tag are a group.

--- a/internal/membership/validation/aggregate.go
+++ b/internal/membership/validation/aggregate.go
@@ -18,7 +18,7 @@
 	if result := v.checkAgainstEngines(now, loads); result != Accepted {
 		return result
 	}
-	own := recordLoads(v.aggregates, from, now, loads)
+	own := v.recordLoads(v.aggregates, from, now, loads)
 	confirming, contradicting := v.compareAggregates(now, from, own)
 	// It costs less to know too little than to reject clients for a load that does not exist; so sums that
 	// at least as many aggregators contradict as confirm are rejected, and high sums that nobody confirms.
@@ -28,7 +28,7 @@
 		return Contradicted
 	}
 	alone := confirming == 0 && contradicting == 0
-	if alone && own.total > v.limits.MaxUnconfirmedThreadsPerCore*v.totalCores() {
+	if alone && own.knownTotal > v.limits.MaxUnconfirmedThreadsPerCore*v.totalCores() {
 		return Contradicted
 	}
 	return Accepted
@@ -39,24 +39,24 @@
 	known, ejected, ejectedButResponding := 0, 0, 0
 	checked, contradicted := 0, 0
 	for _, load := range loads {
-		e := v.engines[load.Tag]
-		if e == nil {
+		group := v.engines[load.Tag]
+		if group == nil {
 			continue
 		}
 		known++
 		if load.Threads >= cresspass.PeerLoadEjected {
 			ejected++
-			if v.isFresh(now, e.lastResponse) {
+			if v.isFresh(now, group.lastResponse()) {
 				ejectedButResponding++
 			}
 			continue
 		}
-		if load.Threads > v.limits.MaxTotalThreadsPerCore*e.cores {
+		if load.Threads > v.limits.MaxTotalThreadsPerCore*group.cores {
 			return OutOfRange
 		}
-		if v.isFresh(now, e.reportedAt) {
+		if reportedThreads, reportedAt := group.reported(); v.isFresh(now, reportedAt) {
 			checked++
-			if v.exceeds(load.Threads, e.reportedThreads, e.cores) {
+			if v.exceeds(load.Threads, reportedThreads, group.cores) {
 				contradicted++
 			}
 		}
@@ -88,27 +88,42 @@
 		if sender == from || age > comparableTTLs*v.limits.EvidenceTTL {
 			continue
 		}
-		if v.contradicts(own, other) {
+		switch v.compare(own, other) {
+		case sumsContradict:
 			contradicting++
-		} else {
+		case sumsConfirm:
 			confirming++
 		}
 	}
 	return confirming, contradicting
 }
 
-// contradicts reports whether sums exceed another's by far on the engines that are in both.
-func (v *Validator) contradicts(own, other *peerLoads) bool {
+// comparison is what another aggregator's sums say of sums.
+type comparison int
+
+const (
+	sumsNotComparable comparison = iota // no engine that is known here is in both
+	sumsConfirm
+	sumsContradict
+)
+
+// compare tells whether sums exceed another's by far on the engines known here that are in both.
+func (v *Validator) compare(own, other *peerLoads) comparison {
 	ours, theirs, cores := 0.0, 0.0, 0.0
 	for tag, threads := range own.threads {
-		otherThreads, ok := other.threads[tag]
-		if !ok {
+		otherThreads, inBoth := other.threads[tag]
+		group := v.engines[tag]
+		if !inBoth || group == nil {
 			continue
 		}
-		ours, theirs = ours+threads, theirs+otherThreads
-		if e := v.engines[tag]; e != nil {
-			cores += e.cores
-		}
+		ours, theirs, cores = ours+threads, theirs+otherThreads, cores+group.cores
+	}
+	switch {
+	case cores == 0:
+		return sumsNotComparable
+	case v.exceeds(ours, theirs, cores):
+		return sumsContradict
+	default:
+		return sumsConfirm
 	}
-	return v.exceeds(ours, theirs, cores)
 }
--- /dev/null
+++ b/internal/membership/validation/enginegroup.go
@@ -0,0 +1,73 @@
+package validation
+
+import (
+	"time"
+
+	"cresspass"
+)
+
+// knownEngine is what is known of an engine here.
+type knownEngine struct {
+	lastResponse    time.Duration // to this dispatcher; 0: never
+	reportedThreads float64       // what it reported to run in total
+	reportedAt      time.Duration // 0: never
+}
+
+// engineGroup is the engines that have one tag: nearly always a single one. Messages do not tell them apart,
+// so that their loads are compared with what all of them show.
+type engineGroup struct {
+	cores   float64 // of all
+	engines map[cresspass.EngineID]*knownEngine
+}
+
+func newEngineGroup() *engineGroup {
+	return &engineGroup{engines: map[cresspass.EngineID]*knownEngine{}}
+}
+
+// add adds an engine, with what a former group, which may be nil, knows of it.
+func (g *engineGroup) add(id cresspass.EngineID, cores float64, former *engineGroup) {
+	g.cores += cores
+	g.engines[id] = &knownEngine{}
+	if former == nil {
+		return
+	}
+	if e := former.engines[id]; e != nil {
+		g.engines[id] = e
+	}
+}
+
+// recordResponse records an engine's response, see Validator.RecordResponse.
+func (g *engineGroup) recordResponse(now time.Duration, id cresspass.EngineID, threads float64) {
+	e := g.engines[id]
+	if e == nil {
+		return
+	}
+	e.lastResponse = now
+	if threads >= 0 {
+		e.reportedThreads, e.reportedAt = threads, now
+	}
+}
+
+// lastResponse is the time by which every engine has last responded; 0: one never did.
+func (g *engineGroup) lastResponse() time.Duration {
+	first := true
+	var earliest time.Duration
+	for _, e := range g.engines {
+		if first || e.lastResponse < earliest {
+			first, earliest = false, e.lastResponse
+		}
+	}
+	return earliest
+}
+
+// reported is the threads that all engines reported, and the time of the oldest report; 0: one never did.
+func (g *engineGroup) reported() (threads float64, at time.Duration) {
+	first := true
+	for _, e := range g.engines {
+		threads += e.reportedThreads
+		if first || e.reportedAt < at {
+			first, at = false, e.reportedAt
+		}
+	}
+	return threads, at
+}
--- a/internal/membership/validation/peerloads.go
+++ b/internal/membership/validation/peerloads.go
@@ -13,13 +13,19 @@
 // peerLoads is what a member has last reported.
 type peerLoads struct {
 	receivedAt time.Duration
-	threads    map[uint16]float64 // by the engine's tag
-	total      float64
+	threads    map[uint16]float64 // by the engines' tag
+	knownTotal float64            // of engines known here
+}
+
+// sentThreads is what a member has sent to engines since a time.
+type sentThreads struct {
+	since          time.Duration
+	known, unknown float64 // threads on engines that are known here, and on others
 }
 
 // recordLoads keeps the loads of a message by its sender and returns what the sender has reported in this
-// message and those that it was split from.
-func recordLoads(
+// message and those that it was split from. Engines with one tag have an entry each, which add up.
+func (v *Validator) recordLoads(
 	peers map[int]*peerLoads, from int, now time.Duration, loads []cresspass.PeerLoad,
 ) *peerLoads {
 	p := peers[from]
@@ -30,10 +36,24 @@
 		}
 	}
 	for _, load := range loads {
-		if load.Threads < cresspass.PeerLoadEjected { // that value calls an engine ejected: it is no load
-			p.total += load.Threads - p.threads[load.Tag]
-			p.threads[load.Tag] = load.Threads
+		if load.Threads >= cresspass.PeerLoadEjected { // that value calls an engine ejected: it is no load
+			continue
+		}
+		p.threads[load.Tag] += load.Threads
+		if v.engines[load.Tag] != nil {
+			p.knownTotal += load.Threads
 		}
 	}
 	return p
 }
+
+// recomputeTotal adds up the loads of the engines known now. Loads are whole numbers, so that the order in
+// which they are added does not matter.
+func (p *peerLoads) recomputeTotal(known map[uint16]*engineGroup) {
+	p.knownTotal = 0
+	for tag, threads := range p.threads {
+		if known[tag] != nil {
+			p.knownTotal += threads
+		}
+	}
+}
--- a/internal/membership/validation/result.go
+++ b/internal/membership/validation/result.go
@@ -15,6 +15,7 @@
 	Contradicted             // another aggregator, or evidence here, says otherwise
 	Disproportionate         // one dispatcher's load exceeds that of all others together by far
 	SenderBlocked            // an earlier message of the sender was out of range
+	UnknownEngines           // more on engines not known here than can be told from a lie
 	resultCount
 )
 
@@ -30,6 +31,7 @@
 	Contradicted:      "contradicted",
 	Disproportionate:  "disproportionate",
 	SenderBlocked:     "sender blocked",
+	UnknownEngines:    "unknown engines",
 }
 
 func (r Result) String() string {
--- /dev/null
+++ b/internal/membership/validation/unknown_engines_test.go
@@ -0,0 +1,153 @@
+package validation
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cresspass"
+)
+
+// manyTags returns a message of a kind with one load for so many engines.
+func manyTags(kind byte, count int, load byte) []byte {
+	loads := make([]byte, count)
+	for i := range loads {
+		loads[i] = load
+	}
+	return message(kind, loads...)
+}
+
+// Guards against honest peers that are not heard because they know engines that are not known here.
+func TestHonestPeerKnowsMoreEngines(t *testing.T) {
+	clock, first, other, _ := aggregators(t)
+	for _, known := range []int{0, 1, 2, 12} {
+		v := newTestValidator(known)
+		for now := 10 * second; now < 20*second; now += 250 * time.Millisecond {
+			for name, data := range map[string][]byte{
+				"a query":          message(sent, 0, 0, 0, 2),
+				"a thread a core":  manyTags(report, 12, engineCores),
+				"relayed queries":  manyTags(relayed, 12, 2),
+				"sums of a thread": manyTags(sums, 12, engineCores),
+			} {
+				from := first
+				if now%(500*time.Millisecond) == 0 && name == "sums of a thread" {
+					from = other
+				}
+				if got := v.Validate(now, clock, from, memberCount, data); got != Accepted {
+					t.Fatalf("%d of 12 engines known, %v: %s: %v", known, now, name, got)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a peer that is judged disproportionate, or against sums that are contradicted, because
+// loads of all engines are held against the cores of the known ones.
+func TestComparesKnownEnginesOnly(t *testing.T) {
+	clock, first, other, _ := aggregators(t)
+	v := newTestValidator(2)
+	now := 10 * second
+	for peer := range 3 {
+		data := message(report, 2, 2, 1)
+		if peer == 2 {
+			data = manyTags(report, 12, 6)
+		}
+		if got := v.Validate(now, clock, 20+peer, memberCount, data); got != Accepted {
+			t.Errorf("report %d: %v", peer, got)
+		}
+	}
+	if got := v.Validate(now, clock, other, memberCount, manyTags(sums, 12, 1)); got != Accepted {
+		t.Errorf("low sums: %v", got)
+	}
+	high := message(sums, 2, 2, 30, 30, 30, 30)
+	if got := v.Validate(now, clock, first, memberCount, high); got != Accepted {
+		t.Errorf("sums that differ on engines unknown here: %v", got)
+	}
+}
+
+// Guards against lies that pass because some or all of the engines they speak of are not known here.
+func TestLiarKnowsMoreEngines(t *testing.T) {
+	clock, first, _, _ := aggregators(t)
+	for _, known := range []int{0, 1, 2, 4} {
+		v := newTestValidator(known)
+		accepted := 0.0
+		for i := range 1000 {
+			now := 10*second + time.Duration(i)*time.Millisecond
+			if v.Validate(now, clock, 100, memberCount, manyTags(sent, 12, 2)) == Accepted {
+				accepted += 24
+			}
+		}
+		cores := max(float64(known)*engineCores, presumedCores)
+		if limit := 2 * (v.limits.MaxPeerThreadsPerCore*cores + v.limits.MaxQueryThreads); accepted > limit {
+			t.Errorf("%d engines known: %v threads of small lies accepted, at most %v", known, accepted, limit)
+		}
+		if got := v.Validate(20*second, clock, 101, memberCount, manyTags(sent, 12, 9)); got != OutOfRange {
+			t.Errorf("%d engines known: queries of nine threads: %v", known, got)
+		}
+		if known == 0 {
+			continue // nothing that is said here concerns an engine that the module has
+		}
+		for name, c := range map[string]struct {
+			data []byte
+			want Result
+		}{
+			"all ejected":     {manyTags(sums, 12, cresspass.PeerLoadEjected), ImplausibleOutage},
+			"254 everywhere":  {manyTags(sums, 12, 254), OutOfRange},
+			"alone, overload": {manyTags(sums, 12, 60), Contradicted},
+		} {
+			if got := v.Validate(30*second, clock, first, memberCount, c.data); got != c.want {
+				t.Errorf("%d engines known: %s: %v, want %v", known, name, got, c.want)
+			}
+		}
+	}
+}
+
+// twoOfOneTag returns two engines with one tag.
+func twoOfOneTag(t *testing.T) (a, b cresspass.EngineID) {
+	t.Helper()
+	seen := map[uint16]cresspass.EngineID{}
+	for i := range 1 << 17 {
+		id := engineID(i)
+		if other, known := seen[cresspass.EngineTag(id)]; known {
+			return other, id
+		}
+		seen[cresspass.EngineTag(id)] = id
+	}
+	t.Fatal("no two engines of one tag")
+	return "", ""
+}
+
+// Guards against honest loads of two engines with one tag that are held against the cores, the reported
+// load or the response of one of them.
+func TestEnginesThatShareATag(t *testing.T) {
+	clock, first, _, _ := aggregators(t)
+	a, b := twoOfOneTag(t)
+	tag := cresspass.EngineTag(a)
+	two := func(kind, loadA, loadB byte) []byte {
+		return []byte{kind, byte(tag >> 8), byte(tag), loadA, byte(tag >> 8), byte(tag), loadB}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		v := New(DefaultLimits(2))
+		small := rapid.Float64Range(1, 8).Draw(t, "cores")
+		v.SetEngines(map[cresspass.EngineID]float64{a: small, b: 64})
+		now := 10 * second
+		v.RecordResponse(now, a, 1)
+		v.RecordResponse(now, b, 60)
+		if got := v.Validate(now, clock, first, memberCount, two(sums, 61, 0)); got != Accepted {
+			t.Fatalf("the sum of both engines' loads: %v", got)
+		}
+		v.RecordResponse(now+5*second, b, 60)
+		ejected := two(sums, cresspass.PeerLoadEjected, 60)
+		if got := v.Validate(now+5*second, clock, first, memberCount, ejected); got != Accepted {
+			t.Fatalf("one of both ejected, only the other answers: %v", got)
+		}
+		v.RecordResponse(now+5*second, a, 1)
+		if got := v.Validate(now+5*second, clock, first, memberCount, ejected); got != ImplausibleOutage {
+			t.Fatalf("one of both ejected, both answer: %v", got)
+		}
+		if got := v.Validate(now+10*second, clock, first, memberCount, two(sums, 254, 254)); got == Accepted {
+			t.Fatal("254 threads on each of both engines accepted")
+		}
+	})
+}
--- a/internal/membership/validation/validator.go
+++ b/internal/membership/validation/validator.go
@@ -50,23 +50,19 @@
 // maxTrackedPeers bounds the members of which anything is kept.
 const maxTrackedPeers = 1024
 
-// engine is what is known of an engine here.
-type engine struct {
-	cores           float64
-	lastResponse    time.Duration // to this dispatcher; 0: never
-	reportedThreads float64       // what it reported to run in total
-	reportedAt      time.Duration // 0: never
-}
+// presumedCores is the least number of cores that the engines which a peer knows, and this dispatcher does
+// not, are presumed to have together.
+const presumedCores = 16
 
 // Validator judges messages. Make one with New. It is not safe for concurrent use.
 type Validator struct {
 	limits  Limits
-	engines map[uint16]*engine // by the tag that messages have for it
+	engines map[uint16]*engineGroup // by the tag that messages have for them
 
 	// By the sender's ordinal:
 	aggregates   map[int]*peerLoads    // last sums over all dispatchers
 	reports      map[int]*peerLoads    // last report of its own load
-	sentLoads    map[int]*peerLoads    // of queries that it has just sent
+	sentLoads    map[int]*sentThreads  // of queries that it has just sent
 	blockedUntil map[int]time.Duration // senders of messages that were out of range
 
 	counts [ResultCount]uint64
@@ -76,39 +72,40 @@
 func New(limits Limits) *Validator {
 	return &Validator{
 		limits:       limits,
-		engines:      map[uint16]*engine{},
+		engines:      map[uint16]*engineGroup{},
 		aggregates:   map[int]*peerLoads{},
 		reports:      map[int]*peerLoads{},
-		sentLoads:    map[int]*peerLoads{},
+		sentLoads:    map[int]*sentThreads{},
 		blockedUntil: map[int]time.Duration{},
 	}
 }
 
 // SetEngines sets which engines exist, with their cores.
 func (v *Validator) SetEngines(engines map[cresspass.EngineID]float64) {
-	current := map[uint16]*engine{}
+	current := map[uint16]*engineGroup{}
 	for id, cores := range engines {
 		tag := cresspass.EngineTag(id)
-		e := v.engines[tag]
-		if e == nil {
-			e = &engine{}
+		group := current[tag]
+		if group == nil {
+			group = newEngineGroup()
+			current[tag] = group
 		}
-		e.cores = max(cores, 1)
-		current[tag] = e
+		group.add(id, max(cores, 1), v.engines[tag])
 	}
 	v.engines = current
+	for _, p := range v.aggregates {
+		p.recomputeTotal(v.engines)
+	}
+	for _, p := range v.reports {
+		p.recomputeTotal(v.engines)
+	}
 }
 
 // RecordResponse records that an engine has answered this dispatcher. threads is what it reports to run in
 // total; negative: it reported nothing.
 func (v *Validator) RecordResponse(now time.Duration, id cresspass.EngineID, threads float64) {
-	e := v.engines[cresspass.EngineTag(id)]
-	if e == nil {
-		return
-	}
-	e.lastResponse = now
-	if threads >= 0 {
-		e.reportedThreads, e.reportedAt = threads, now
+	if group := v.engines[cresspass.EngineTag(id)]; group != nil {
+		group.recordResponse(now, id, threads)
 	}
 }
 
@@ -163,10 +160,10 @@
 	return result
 }
 
-// totalCores is the number of cores of all engines.
+// totalCores is the number of cores of all engines known here.
 func (v *Validator) totalCores() (sum float64) {
-	for _, e := range v.engines {
-		sum += e.cores
+	for _, group := range v.engines {
+		sum += group.cores
 	}
 	return sum
 }
@@ -179,23 +176,23 @@
 // validateReport judges a dispatcher's report of what it runs.
 func (v *Validator) validateReport(now time.Duration, from int, loads []cresspass.PeerLoad) Result {
 	for _, load := range loads {
-		e := v.engines[load.Tag]
-		if e != nil && load.Threads > v.limits.MaxPeerThreadsPerCore*e.cores+v.limits.MaxQueryThreads {
+		group := v.engines[load.Tag]
+		if group != nil && load.Threads > v.maxPeerThreads(group.cores) {
 			return OutOfRange
 		}
 	}
-	own := recordLoads(v.reports, from, now, loads)
+	own := v.recordLoads(v.reports, from, now, loads)
 	others, reporting := 0.0, 0
 	for sender, reported := range v.reports {
 		switch {
 		case now-reported.receivedAt > v.limits.EvidenceTTL:
 			delete(v.reports, sender)
 		case sender != from:
-			others += reported.total
+			others += reported.knownTotal
 			reporting++
 		}
 	}
-	if reporting >= minReportsToCompare && v.exceeds(own.total, others, v.totalCores()) {
+	if reporting >= minReportsToCompare && v.exceeds(own.knownTotal, others, v.totalCores()) {
 		return Disproportionate
 	}
 	return Accepted
@@ -214,24 +211,42 @@
 	return Accepted
 }
 
+// maxPeerThreads is the most threads that one dispatcher runs on so many cores.
+func (v *Validator) maxPeerThreads(cores float64) float64 {
+	return v.limits.MaxPeerThreadsPerCore*cores + v.limits.MaxQueryThreads
+}
+
 // validateSent judges a dispatcher's message of the queries that it has just sent. Small lies add up: nobody
-// sends more, within the time in which such messages fade, than would fill all cores.
+// sends more, within the time in which such messages fade, than would fill all cores. A peer may know
+// engines that are not known here, so what it sends to those is judged apart: beyond what is plausible it is
+// rejected, but it does not prove a lie, and the sender is heard again.
 func (v *Validator) validateSent(now time.Duration, from int, loads []cresspass.PeerLoad) Result {
 	if result := v.validateQueries(loads); result != Accepted {
 		return result
 	}
 	sent := v.sentLoads[from]
-	if sent == nil || now-sent.receivedAt > v.limits.EvidenceTTL {
-		sent = &peerLoads{receivedAt: now}
+	if sent == nil || now-sent.since > v.limits.EvidenceTTL {
+		sent = &sentThreads{since: now}
 		if len(v.sentLoads) < maxTrackedPeers {
 			v.sentLoads[from] = sent
 		}
 	}
+	known, unknown := 0.0, 0.0
 	for _, load := range loads {
-		sent.total += load.Threads
+		if v.engines[load.Tag] != nil {
+			known += load.Threads
+		} else {
+			unknown += load.Threads
+		}
 	}
-	if sent.total > v.limits.MaxPeerThreadsPerCore*v.totalCores()+v.limits.MaxQueryThreads {
+	cores := v.totalCores()
+	sent.known += known
+	if sent.known > v.maxPeerThreads(cores) {
 		return OutOfRange
 	}
+	if sent.unknown+unknown > v.maxPeerThreads(max(cores, presumedCores)) {
+		return UnknownEngines
+	}
+	sent.unknown += unknown
 	return Accepted
 }
