Membership: a packet that comes before the member list is complete no longer crashes

Callers: a dispatcher that restarted on an address known to its peers could end with SIGSEGV in its first moments.

Cause: memberlist reads packets before Create returns; the reply went through Service.members, which was nil then.

Fix: members is set under the mutex; until then the node keeps its actions, and the next call carries them out.

--- a/internal/membership/service.go
+++ b/internal/membership/service.go
@@ -61,7 +61,6 @@
 type Service struct {
 	config  Config
 	log     *slog.Logger
-	members *memberlist.Memberlist
 	keyring *memberlist.Keyring
 	clock   dispatch.Clock
 
@@ -75,6 +74,8 @@
 
 	mu   sync.Mutex
 	node *gossip.Node
+	// members is nil while it is being created: it notifies of packets and members before. It is set once.
+	members *memberlist.Memberlist
 	// addresses are the members'. They are copied in memberlist's notifications, as memberlist changes its
 	// nodes at any other time.
 	addresses map[string]memberlist.Address
@@ -111,11 +112,15 @@
 	if config.BootstrapTimeout <= 0 { // nothing is requested, so that the node never completes it
 		close(s.bootstrapped)
 	}
-	if s.members, err = memberlist.Create(s.memberlistConfig(host, port)); err != nil {
+	members, err := memberlist.Create(s.memberlistConfig(host, port))
+	if err != nil {
 		return nil, fmt.Errorf("membership: listen on %s: %w", config.Listen, err)
 	}
+	s.mu.Lock()
+	s.members = members
+	s.mu.Unlock()
 	if len(config.Seeds) > 0 {
-		if joined, err := s.members.Join(config.Seeds); joined == 0 {
+		if joined, err := members.Join(config.Seeds); joined == 0 {
 			logger.Warn("no seed reachable; alone until peers join", "seeds", config.Seeds, "error", err)
 		}
 	}
@@ -231,11 +236,16 @@
 	_ = s.members.UpdateNode(updateTimeout) // it fails if the broadcast is late; memberlist goes on with it
 }
 
-// withNode calls f with the node and carries out the actions that follow. It must not be called from
-// memberlist's notifications, which hold memberlist's locks.
+// withNode calls f with the node and carries out the actions that follow; while the member list is being
+// created, a later call carries them out. It must not be called from memberlist's notifications, which hold
+// memberlist's locks.
 func (s *Service) withNode(f func(now time.Duration, n *gossip.Node)) {
 	s.mu.Lock()
 	f(s.clock(), s.node)
+	if s.members == nil {
+		s.mu.Unlock()
+		return
+	}
 	actions := s.node.Ready()
 	receivers := make([]memberlist.Address, len(actions))
 	for i := range actions {
--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -31,10 +31,20 @@
 
 func (f *testFleet) start(name string, keys [][]byte, seeds ...string) *Service {
 	f.t.Helper()
+	config, store := f.configure(name, keys, seeds...)
+	s, err := New(config, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return s
+}
+
+// configure returns the settings and the observations of a dispatcher to be started.
+func (f *testFleet) configure(name string, keys [][]byte, seeds ...string) (Config, *observation.Store) {
 	f.incarnation++
 	store := observation.New(fmt.Sprint(name, "-", f.incarnation), observation.DefaultLimits())
 	store.SetEngines([]string{"e1", "e2"})
-	s, err := New(Config{
+	return Config{
 		Config: gossip.Config{
 			Name:           name,
 			Incarnation:    f.incarnation,
@@ -55,11 +65,7 @@
 				f.received[name] = append(f.received[name], fmt.Sprint(a.From, " ", a.Data[3]))
 			}
 		},
-	}, store, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return s
+	}, store
 }
 
 func (f *testFleet) eventually(what string, ok func() bool) {
