Sessions: RESET, DISCARD ALL and ROLLBACK end the dispatcher's settings too

Callers: the next user of a pooled connection had the first one's statement_timeout (its queries refused, 53000) and application_name; a prepared RESET ALL or DISCARD ALL could be answered without effect, and leave the search path of another user in force.

Cause: the dispatcher's own settings changed only where it answered the statement itself; whether it does was decided at Parse.

The engine's connection was clean each time.

Fix: settingTracker follows what engines run by their tags, with SET LOCAL, savepoints and both ends of a transaction; prepared statements are judged when they run. TestFlightEngineDiesAfterThreeBatches failed once in internal/server beside a load of 40, not traced yet.

--- a/internal/affinity/session.go
+++ b/internal/affinity/session.go
@@ -67,6 +67,9 @@
 	return reasonNone
 }
 
+// Holds reports whether a reason makes the session sticky.
+func (s *Session) Holds(reason Reason) bool { return s.reasons[reason] }
+
 // Bound reports whether the next statement must find the same engine connection.
 func (s *Session) Bound() bool {
 	return !s.ended && (s.txStatus != statusIdle || s.Reason() != reasonNone)
--- a/internal/backend/sessionparams/tracker.go
+++ b/internal/backend/sessionparams/tracker.go
@@ -68,7 +68,7 @@
 		t.apply(t.pendingInTx)
 		t.apply(t.pendingInQuery)
 		t.pendingInTx, t.pendingInQuery = nil, nil
-	case tag == "ROLLBACK" && rollsBackToSavepoint(st):
+	case tag == "ROLLBACK" && RollsBackToSavepoint(st):
 		// What was set after the savepoint is undone and what was set before it is not. Which is which is
 		// not tracked.
 		t.uncertain = t.uncertain || len(t.pendingInTx)+len(t.pendingInQuery) > 0
@@ -81,8 +81,8 @@
 	}
 }
 
-// rollsBackToSavepoint reports whether a ROLLBACK goes back to a savepoint only.
-func rollsBackToSavepoint(st *sqlscan.Statement) bool {
+// RollsBackToSavepoint reports whether a ROLLBACK goes back to a savepoint only.
+func RollsBackToSavepoint(st *sqlscan.Statement) bool {
 	return st.Words[1] == "TO" || st.Words[2] == "TO"
 }
 
--- a/internal/frontend/pgfrontend/pgsession/extended.go
+++ b/internal/frontend/pgfrontend/pgsession/extended.go
@@ -18,7 +18,6 @@
 	text           string
 	parameterTypes string // OIDs as sent, 4 bytes each
 	parsed         []sqlscan.Statement
-	local          bool // the dispatcher answers it
 }
 
 // portal is a statement with its parameters.
@@ -41,7 +40,6 @@
 	}
 	st := &statement{text: string(p.Text), parameterTypes: string(p.Types)}
 	st.parsed = s.scan(st.text)
-	st.local = s.allLocal(st.parsed) || len(st.parsed) == 0
 	switch {
 	case len(st.parsed) > 1:
 		s.failStatement(sqlstate.SyntaxError, "cannot insert multiple commands into a prepared statement")
@@ -61,6 +59,12 @@
 	return nil
 }
 
+// answersLocally reports whether the dispatcher answers a prepared statement, as the session stands now. It
+// may have been prepared when other settings were in force.
+func (s *Session) answersLocally(st *statement) bool {
+	return len(st.parsed) == 0 || s.allLocal(st.parsed)
+}
+
 func (s *Session) handleBind(b []byte) error {
 	m, err := pgwire.ParseBind(b)
 	if err != nil {
@@ -102,7 +106,7 @@
 	switch p := s.portals[string(name)]; {
 	case p == nil:
 		s.failNoPortal(name)
-	case p.statement.local:
+	case s.answersLocally(p.statement):
 		s.out = append(s.out, s.localDescription(p.statement)...)
 	default:
 		s.describedPortal, s.describePending = string(name), true
@@ -133,7 +137,7 @@
 	case st == nil:
 		s.failNoStatement(name)
 		return
-	case st.local:
+	case s.answersLocally(st):
 		s.out = pgwire.Append(s.out, 't', []byte{0, 0}) // ParameterDescription of no parameters
 		s.out = append(s.out, s.localDescription(st)...)
 		return
@@ -162,7 +166,7 @@
 		s.failNoPortal(name)
 	case len(p.statement.parsed) == 0:
 		s.out = pgwire.Append(s.out, 'I', nil) // EmptyQueryResponse
-	case p.statement.local:
+	case s.answersLocally(p.statement):
 		s.executeLocal(&p.statement.parsed[0], false)
 	case p.executed && p.atEngine && s.Affinity.Status() == enginequery.StatusInTransaction:
 		s.submit(&enginequery.Query{Kind: enginequery.Execute, Text: p.statement.text,
--- a/internal/frontend/pgfrontend/pgsession/golden_test.go
+++ b/internal/frontend/pgfrontend/pgsession/golden_test.go
@@ -286,7 +286,7 @@
 		s.Backlogged(),
 		s.User,
 		s.Database,
-		s.Application,
-		s.StatementTimeout,
+		s.Application(),
+		s.StatementTimeout(),
 	)
 }
--- a/internal/frontend/pgfrontend/pgsession/local.go
+++ b/internal/frontend/pgfrontend/pgsession/local.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 
+	"cresspass/internal/affinity"
+	"cresspass/internal/backend/enginequery"
 	"cresspass/internal/backend/sessionparams"
 	"cresspass/internal/protocol/pgwire"
 	"cresspass/internal/protocol/sqlscan"
@@ -14,22 +16,37 @@
 // Statements that the dispatcher answers itself: those that ask for what is in force anyway, or that are
 // about state that is stored here.
 
-// allLocal reports whether the dispatcher answers a text. While the session is on an engine connection all
+// allLocal reports whether the dispatcher answers a text. While the session is on an engine connection
 // statements go there, as the engine's own settings count; but prepared statements are stored here.
 func (s *Session) allLocal(parsed []sqlscan.Statement) bool {
 	if len(parsed) == 1 && parsed[0].Words[0] == "DEALLOCATE" &&
 		s.statements[deallocateName(&parsed[0])] != nil {
 		return true
 	}
-	if s.Affinity.Bound() || len(parsed) == 0 {
-		return false
+	if s.Affinity.Bound() {
+		return s.allShowDispatcherSettings(parsed)
 	}
 	for i := range parsed {
 		if !s.isLocal(&parsed[i]) {
 			return false
 		}
 	}
-	return true
+	return len(parsed) > 0
+}
+
+// allShowDispatcherSettings reports whether a text of a session on an engine connection only asks for
+// settings that no engine is sent: the engine would answer with its own. Where a function may have set one,
+// and in a failed transaction, the engine has the word.
+func (s *Session) allShowDispatcherSettings(parsed []sqlscan.Statement) bool {
+	if s.Affinity.Status() == enginequery.StatusFailedTransaction || s.Affinity.Holds(affinity.ReasonUnknownEffect) {
+		return false
+	}
+	for i := range parsed {
+		if parsed[i].Words[0] != "SHOW" || !dispatcherSettings[shownSetting(&parsed[i])] {
+			return false
+		}
+	}
+	return len(parsed) > 0
 }
 
 // isLocal reports whether the dispatcher answers a statement of a session that is on no engine connection.
@@ -84,9 +101,7 @@
 
 // resetLocal executes RESET and DISCARD.
 func (s *Session) resetLocal(st *sqlscan.Statement) {
-	if st.Words[1] == "ALL" || st.Words[1] == "STATEMENT_TIMEOUT" {
-		s.StatementTimeout = 0
-	}
+	s.settings.apply(st)
 	if st.Words[0] == "DISCARD" && st.Words[1] == "ALL" {
 		clear(s.statements)
 	}
--- a/internal/frontend/pgfrontend/pgsession/localsettings.go
+++ b/internal/frontend/pgfrontend/pgsession/localsettings.go
@@ -10,13 +10,19 @@
 	"cresspass/internal/protocol/sqlstate"
 )
 
+// The settings of the dispatcher itself.
+const (
+	settingStatementTimeout = "statement_timeout"
+	settingApplicationName  = "application_name"
+)
+
 // dispatcherSettings are the settings that no engine is sent.
-var dispatcherSettings = map[string]bool{"statement_timeout": true, "application_name": true}
+var dispatcherSettings = map[string]bool{settingStatementTimeout: true, settingApplicationName: true}
 
 // localSettingNames are the settings that are stored here: those with one value that changes no result, and
 // those of the dispatcher itself.
 var localSettingNames = map[string]bool{
-	"statement_timeout": true, "application_name": true, "client_encoding": true,
+	settingStatementTimeout: true, settingApplicationName: true, "client_encoding": true,
 	"datestyle": true, "timezone": true, "standard_conforming_strings": true, "extra_float_digits": true,
 	"default_transaction_read_only": true, "server_version": true, "transaction_read_only": true,
 	"transaction isolation level": true, "transaction_isolation": true, "default_transaction_isolation": true,
@@ -62,27 +68,17 @@
 
 // setLocal accepts a setting that is stored here, or that asks for what is in force anyway.
 func (s *Session) setLocal(name, value string) *settingError {
-	switch name {
-	case "statement_timeout":
-		timeout, ok := parseTimeout(normalizedValue(value))
-		if !ok {
-			return &settingError{sqlstate.InvalidParameterValue,
-				fmt.Sprintf("statement_timeout: %q is no time", normalizedValue(value))}
-		}
-		s.StatementTimeout = timeout
-	case "application_name":
-		s.Application = unquoted(value)
-	default:
-		s.storeLocal(name, unquoted(value))
+	if isDefaultKeyword(value) {
+		s.settings.applyReset(name)
+		return nil
 	}
-	return nil
-}
-
-func (s *Session) storeLocal(name, value string) {
-	if s.localSettings == nil {
-		s.localSettings = map[string]string{}
+	values, ok := s.settings.current.set(name, value)
+	if !ok {
+		return &settingError{sqlstate.InvalidParameterValue,
+			fmt.Sprintf("statement_timeout: %q is no time", normalizedValue(value))}
 	}
-	s.localSettings[name] = value
+	s.settings.current, s.settings.session = values, values
+	return nil
 }
 
 // shownSetting returns the name in a SHOW.
@@ -94,13 +90,10 @@
 func (s *Session) showValue(st *sqlscan.Statement) (name, value string, ok bool) {
 	name = shownSetting(st)
 	switch name {
-	case "statement_timeout":
-		if s.StatementTimeout == 0 {
-			return name, "0", true
-		}
-		return name, fmt.Sprintf("%dms", s.StatementTimeout/time.Millisecond), true
-	case "application_name":
-		return name, s.Application, true
+	case settingStatementTimeout:
+		return name, formatTimeout(s.StatementTimeout()), true
+	case settingApplicationName:
+		return name, s.Application(), true
 	case "server_version":
 		return name, s.cfg.ServerVersion, true
 	case "transaction_read_only":
@@ -108,7 +101,7 @@
 	case "transaction isolation level", "transaction_isolation", "default_transaction_isolation":
 		return "transaction_isolation", "read committed", true
 	}
-	if value, ok = s.localSettings[name]; ok {
+	if value, ok = s.settings.current.stored[name]; ok {
 		return name, value, true
 	}
 	value, ok = defaultValues[name]
@@ -124,12 +117,16 @@
 // maxTimeout is the longest timeout in nanoseconds; a longer one could overflow a Duration.
 const maxTimeout = 1e18
 
-// parseTimeout parses a timeout as PostgreSQL does: a number of milliseconds, or a number with a unit. The
-// default is no timeout.
-func parseTimeout(value string) (time.Duration, bool) {
-	if value == "default" {
-		return 0, true
+// formatTimeout returns a timeout as SHOW gives it.
+func formatTimeout(timeout time.Duration) string {
+	if timeout == 0 {
+		return "0"
 	}
+	return fmt.Sprintf("%dms", timeout/time.Millisecond)
+}
+
+// parseTimeout parses a timeout as PostgreSQL does: a number of milliseconds, or a number with a unit.
+func parseTimeout(value string) (time.Duration, bool) {
 	value = strings.TrimSpace(value)
 	if n, err := strconv.ParseInt(value, 10, 32); err == nil && n >= 0 {
 		return time.Duration(n) * time.Millisecond, true
--- a/internal/frontend/pgfrontend/pgsession/query.go
+++ b/internal/frontend/pgfrontend/pgsession/query.go
@@ -22,11 +22,7 @@
 	case len(parsed) == 0:
 		s.out = pgwire.Append(s.out, 'I', nil) // EmptyQueryResponse
 	case s.allLocal(parsed):
-		for i := range parsed {
-			if !s.executeLocal(&parsed[i], true) {
-				break
-			}
-		}
+		s.executeAllLocal(parsed)
 	default:
 		s.submit(&enginequery.Query{Kind: enginequery.Simple, Text: text, Parsed: parsed})
 		return nil
@@ -36,6 +32,17 @@
 	return nil
 }
 
+// executeAllLocal answers the statements of a text. An error ends the text and undoes what it has set.
+func (s *Session) executeAllLocal(parsed []sqlscan.Statement) {
+	before := s.settings.settingScopes
+	for i := range parsed {
+		if !s.executeLocal(&parsed[i], true) {
+			s.settings.settingScopes = before
+			return
+		}
+	}
+}
+
 // scan parses a text.
 func (s *Session) scan(text string) []sqlscan.Statement {
 	return enginequery.ParseStatements(text, s.cfg.StatelessFunction)
@@ -48,6 +55,7 @@
 	q.OutsideTransaction = s.Affinity.Status() == enginequery.StatusIdle
 	q.Settings = s.Affinity.Params.Desired()
 	if q.Kind == enginequery.Simple || q.Kind == enginequery.Execute {
+		s.settings.statementsSent(q.Parsed, s.Affinity.Status())
 		s.Affinity.StatementsSent(q.Parsed)
 	}
 	// A query that makes the session sticky may yet be rejected before an engine saw it; QueryEnded then says
--- a/internal/frontend/pgfrontend/pgsession/session.go
+++ b/internal/frontend/pgfrontend/pgsession/session.go
@@ -54,10 +54,9 @@
 
 // Session is the protocol state of one client. It is for one goroutine at a time.
 type Session struct {
-	User, Database, Application string
-	StatementTimeout            time.Duration // 0: none
-	PID                         uint32        // names the session in cancel requests, as does Secret
-	Secret                      string
+	User, Database string
+	PID            uint32 // names the session in cancel requests, as does Secret
+	Secret         string
 
 	Affinity *affinity.Session // whether the session has to stay on one engine connection
 
@@ -76,7 +75,8 @@
 	describePending bool   // ...where one does
 	deferred        pgwire.Message
 	hasDeferred     bool
-	localSettings   map[string]string
+	settings        settingTracker
+	startupReports  map[string]string // startup values of replayed settings that are reported, by lower name
 
 	bytesAhead int        // bytes of the client that wait
 	copyIn     bool       // in copy-in mode
@@ -92,6 +92,12 @@
 	return s
 }
 
+// StatementTimeout is the client's limit of a query's time; 0: none.
+func (s *Session) StatementTimeout() time.Duration { return s.settings.current.statementTimeout }
+
+// Application is the client's application name.
+func (s *Session) Application() string { return s.settings.current.application }
+
 // Closing reports whether the connection is to be closed once the output is sent.
 func (s *Session) Closing() bool { return s.phase == phaseClosing }
 
@@ -170,11 +176,19 @@
 // CommandComplete takes a CommandComplete of the engine for the query that runs.
 func (s *Session) CommandComplete(tag string) {
 	s.Affinity.CommandComplete(tag)
+	s.settings.commandComplete(tag)
 	if tag == "DISCARD ALL" || tag == "DEALLOCATE ALL" {
 		clear(s.statements) // "DISCARD": statements prepared by the protocol are among them
 	}
 }
 
+// ReadyForQuery takes the transaction status of the engine's ReadyForQuery at a time, after the tags of the
+// query. changed says that the session has just become bound to its engine connection, or has ceased to be.
+func (s *Session) ReadyForQuery(now time.Duration, status byte) (changed bool) {
+	s.settings.readyForQuery(status)
+	return s.Affinity.ReadyForQuery(now, status)
+}
+
 // Terminate ends the session from our side with a FATAL error.
 func (s *Session) Terminate(code, message string) {
 	if s.phase != phaseClosing {
--- a/internal/frontend/pgfrontend/pgsession/startup.go
+++ b/internal/frontend/pgfrontend/pgsession/startup.go
@@ -39,7 +39,6 @@
 	s.reader.Startup, s.reader.Known = false, pgwire.FrontendType
 	s.negotiate(p)
 	s.User, s.Database = p.Parameters["user"], p.Parameters["database"]
-	s.Application = p.Parameters["application_name"]
 	if s.Database == "" {
 		s.Database = s.User
 	}
@@ -47,6 +46,7 @@
 		s.failFatal(err.code, err.message)
 		return
 	}
+	s.settings.start()
 	if asksForReplication(p.Parameters["replication"]) {
 		s.failFatal(sqlstate.FeatureNotSupported, "replication connections are not served")
 		return
@@ -125,7 +125,7 @@
 	case sessionparams.Replayed(name):
 		s.Affinity.Params.SetAtStartup(name, value)
 		if reported := sessionparams.Reported(name); reported != "" {
-			s.storeLocal(startupReportKey(reported), value)
+			s.storeStartupReport(reported, value)
 		}
 		return nil
 	}
@@ -133,9 +133,13 @@
 		fmt.Sprintf("setting %s to %s is not served: engines would not hear of it", name, value)}
 }
 
-// startupReportKey is the key under which localSettings holds the startup value of a setting that is reported
-// to the client. It is no name of a setting.
-func startupReportKey(reported string) string { return "started " + strings.ToLower(reported) }
+// storeStartupReport keeps the startup value of a setting that is reported to the client.
+func (s *Session) storeStartupReport(reported, value string) {
+	if s.startupReports == nil {
+		s.startupReports = map[string]string{}
+	}
+	s.startupReports[strings.ToLower(reported)] = value
+}
 
 // reportParameters sends a ParameterStatus for each setting of which a server informs its clients
 // ("Asynchronous Operations").
@@ -149,14 +153,14 @@
 		{"TimeZone", "UTC"},
 		{"integer_datetimes", "on"},
 		{"standard_conforming_strings", "on"},
-		{"application_name", s.Application},
+		{"application_name", s.Application()},
 		{"session_authorization", s.User},
 		{"is_superuser", "off"},
 		{"in_hot_standby", "off"},
 		{"default_transaction_read_only", "off"},
 	} {
 		value := parameter.value
-		if requested, ok := s.localSettings[startupReportKey(parameter.name)]; ok {
+		if requested, ok := s.startupReports[strings.ToLower(parameter.name)]; ok {
 			value = requested
 		}
 		s.out = pgwire.AppendText(s.out, 'S', parameter.name, value)
--- a/internal/frontend/pgfrontend/query.go
+++ b/internal/frontend/pgfrontend/query.go
@@ -22,8 +22,8 @@
 	}
 	s := c.session
 	q := &frontend.Query{Frontend: Name, EngineQuery: engineQuery, OnResponseEnded: c.submitNext,
-		Client: classify.Client{User: s.User, Database: s.Database, Application: s.Application,
-			Timeout: s.StatementTimeout}}
+		Client: classify.Client{User: s.User, Database: s.Database, Application: s.Application(),
+			Timeout: s.StatementTimeout()}}
 	q.Response = response.New(&sink{c, engineQuery.Kind}, &c.server.budget, c.server.cfg.Load().HoldBack)
 	q.Throttle = func() { c.awaitCapacity(q.Response.Done()) }
 	q.Lease = &c.lease
@@ -85,7 +85,7 @@
 		c.session.CommandComplete(tag)
 	}
 	registry := c.server.cfg.Load().Registry
-	changed := a.ReadyForQuery(registry.Now(), end.TransactionStatus)
+	changed := c.session.ReadyForQuery(registry.Now(), end.TransactionStatus)
 	keep := a.Bound()
 	if changed {
 		registry.Update(&c.registration, keep, orphanedsession.Session{Engine: string(end.Engine),
