Engine connections: a query that is held back marks nothing as prepared until it is sent

Callers: the next client of a connection that used the same statement was told that it does not exist (26000, or a retry).

Cause: buildRequest made the request that waits for the session's settings at once, and making it marks statements as prepared, closes the oldest and sets what the connection awaits; recheckMayStart then gave the connection back without sending it.

Evidence: TestHeldBackStatementIsNotPrepared, on the code before: the second client's request begins with Bind of 'c1', no Parse.

Fix: the query itself is kept, and its request made when it is sent. After: the package passes, golden requests unchanged.

--- a/internal/backend/pgbackend/conn.go
+++ b/internal/backend/pgbackend/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/backend/enginequery"
 	"cresspass/internal/backend/sessionparams"
 	"cresspass/internal/protocol/pgwire"
 )
@@ -45,14 +46,14 @@
 	// Of the attempt that runs. start resets them before it stores current; from then on they are the
 	// reading goroutine's.
 
-	readyToSkip     int    // ReadyForQuery messages of our own SETs that come before the query's
-	gatedRequest    []byte // request that waits until the engine has taken the session's settings
-	settingReported bool   // a ParameterStatus came while the query ran
-	tainted         bool   // the state on the connection is unknown: it is closed at the attempt's end
-	syncPending     bool   // no Sync was sent after the request
-	hadCopyIn       bool   // the query had a copy-in
-	copyInFailed    bool   // its client made the copy fail
-	preparingKey    string // key of the statement that the request parses; "": none, or ParseComplete came
+	readyToSkip     int                // ReadyForQuery messages of our own SETs that come before the query's
+	gatedQuery      *enginequery.Query // waits until the engine has taken the session's settings
+	settingReported bool               // a ParameterStatus came while the query ran
+	tainted         bool               // the state on the connection is unknown: it is closed at the end
+	syncPending     bool               // no Sync was sent after the request
+	hadCopyIn       bool               // the query had a copy-in
+	copyInFailed    bool               // its client made the copy fail
+	preparingKey    string             // of the statement that is being parsed; "": none
 	commandTags     []string
 
 	activeCopy  *copyWriter // nil: none
@@ -114,7 +115,7 @@
 func (c *conn) resetAttempt() {
 	c.readyToSkip, c.preparingKey, c.syncPending = 0, "", false
 	c.hadCopyIn, c.copyInFailed = false, false
-	c.gatedRequest, c.settingReported, c.tainted, c.commandTags = nil, false, false, nil
+	c.gatedQuery, c.settingReported, c.tainted, c.commandTags = nil, false, false, nil
 }
 
 // recheckMayStart asks once more whether an attempt may start whose request was held back. Where it may not
--- a/internal/backend/pgbackend/conn_test.go
+++ b/internal/backend/pgbackend/conn_test.go
@@ -1,6 +1,7 @@
 package pgbackend
 
 import (
+	"container/list"
 	"net"
 	"os"
 	"syscall"
@@ -113,6 +114,66 @@
 	}
 }
 
+// Guards against a statement that is believed to be prepared on a connection to which it was never sent.
+func TestHeldBackStatementIsNotPrepared(t *testing.T) {
+	c, written := newPipedConn(t)
+	mayStart := false
+	execute := func() *Attempt {
+		a := &Attempt{Priority: -1,
+			Query: &enginequery.Query{Kind: enginequery.Execute, Text: "select 1", OutsideTransaction: true,
+				Settings: (&sessionparams.Set{}).With("search_path", "s"), BindBody: make([]byte, 6)},
+			Response: response.New(nil, &response.BufferBudget{}, 0),
+			OnEnded:  func(Result) {},
+			MayStart: func() (cresspass.Outcome, bool) { return cresspass.OutcomeNotStarted, mayStart }}
+		a.Response.BeginAttempt(0)
+		return a
+	}
+	first, second := execute(), execute()
+	second.Query.Settings = first.Query.Settings
+	mayStart = true
+	c.start(first)
+	<-written
+	mayStart = false
+	for _, m := range []pgwire.Message{{Type: 'C', Body: []byte("SET\x00")}, {Type: 'Z', Body: []byte("I")}} {
+		if err := c.handleMessage(m); err != nil {
+			t.Fatal(err)
+		}
+	}
+	mayStart = true
+	c.start(second)
+	if request := <-written; request[0] != 'P' {
+		t.Errorf("the statement is used without having been prepared: %q", request)
+	}
+}
+
+// newPipedConn returns a connection to an engine, and what is written to it.
+func newPipedConn(t *testing.T) (*conn, <-chan string) {
+	t.Helper()
+	near, far := net.Pipe()
+	p := NewPool(Config{MaxConnections: 4, MaxPrepared: 4})
+	t.Cleanup(func() {
+		near.Close()
+		far.Close()
+		p.Close()
+	})
+	e := p.engineFor("engine")
+	c := &conn{pool: p, engine: e, netConn: near, preparedByKey: map[string]*list.Element{},
+		preparedLRU: list.New()}
+	e.conns[c] = struct{}{}
+	written := make(chan string, 8)
+	go func() {
+		b := make([]byte, 4096)
+		for {
+			n, err := far.Read(b)
+			if err != nil {
+				return
+			}
+			written <- string(b[:n])
+		}
+	}()
+	return c, written
+}
+
 // TestLocalDialErrorIsRetried: a connect that fails by this machine's own fault is retried, and counts
 // against no engine.
 func TestLocalDialErrorIsRetried(t *testing.T) {
--- a/internal/backend/pgbackend/golden_test.go
+++ b/internal/backend/pgbackend/golden_test.go
@@ -59,13 +59,17 @@
 		if a.Query != nil {
 			a.Response = response.New(nil, &response.BufferBudget{}, 0)
 		}
-		c.readyToSkip, c.gatedRequest, c.syncPending, c.preparingKey = 0, nil, false, ""
+		c.readyToSkip, c.gatedQuery, c.syncPending, c.preparingKey = 0, nil, false, ""
 		fmt.Fprintf(&got, "request %q\n", c.buildRequest(a))
+		var gated []byte
+		if c.gatedQuery != nil {
+			gated = c.appendQuery(nil, c.gatedQuery)
+		}
 		fmt.Fprintf(
 			&got,
 			"  skip %d gated %q sync owed %v preparing %q\n",
 			c.readyToSkip,
-			c.gatedRequest,
+			gated,
 			c.syncPending,
 			c.preparingKey,
 		)
--- a/internal/backend/pgbackend/message.go
+++ b/internal/backend/pgbackend/message.go
@@ -200,7 +200,7 @@
 // the query runs all the same. Without the session's settings, which are the last to be set, it must not run:
 // their error is its response.
 func (c *conn) handleSettingError(f pgwire.Fields, m pgwire.Message) {
-	if c.readyToSkip > 1 || c.gatedRequest == nil {
+	if c.readyToSkip > 1 || c.gatedQuery == nil {
 		return
 	}
 	c.failed, c.tainted, c.engineError = true, true, f
@@ -216,26 +216,27 @@
 	}
 	if c.readyToSkip > 0 {
 		c.readyToSkip--
-		if c.readyToSkip > 0 || c.gatedRequest == nil || c.sendGatedRequest(a) {
+		if c.readyToSkip > 0 || c.gatedQuery == nil || c.sendGatedQuery(a) {
 			return nil
 		}
 	}
 	return c.endQuery(a, m.Body[0])
 }
 
-// sendGatedRequest sends the request that waited for the session's settings, unless it may not start any
-// more. It returns false where the query is to end without having been sent: the settings were not taken, or
-// the attempt was withdrawn. What is in force on the connection is then unknown.
-func (c *conn) sendGatedRequest(a *Attempt) bool {
-	request := c.gatedRequest
-	c.gatedRequest = nil
+// sendGatedQuery sends the query that waited for the session's settings, unless it may not start any more. It
+// returns false where the query is to end without having been sent: the settings were not taken, or the
+// attempt was withdrawn. What is in force on the connection is then unknown.
+func (c *conn) sendGatedQuery(a *Attempt) bool {
+	q := c.gatedQuery
+	c.gatedQuery = nil
 	if c.failed || a.done.Load() {
 		c.tainted, c.failed = true, true
 		return false
 	}
-	// The engine may have taken long to answer the settings.
+	// The engine may have taken long to answer the settings. The request is made only now, as making it marks
+	// statements as prepared, which they are not where it is never sent.
 	if c.recheckMayStart(a) {
-		c.write(request)
+		c.write(c.appendQuery(nil, q))
 	}
 	return true
 }
--- a/internal/backend/pgbackend/request.go
+++ b/internal/backend/pgbackend/request.go
@@ -39,7 +39,7 @@
 	}
 	out = pgwire.AppendText(out, 'Q', strings.Join(statements, "; "))
 	c.readyToSkip++
-	c.gatedRequest = c.appendQuery(nil, q)
+	c.gatedQuery = q
 	return out
 }
 
