Engine connections: a memory grant that was refused or rolled back is set again

Callers: after an engine refused SET work_mem, or a ROLLBACK undid it, later queries on that connection ran without the grant, or with another query's, and their spills were blamed on the engine.

Cause: the value counted as in force once it was sent; only DISCARD ALL and RESET were known to undo it.

Evidence: TestMemoryGrantIsSetAgain on the code before: the second query is sent without SET work_mem, refused and rolled back alike.

Fix: after either, work_mem and the priority are unknown, and sent before the next query.

--- a/internal/backend/pgbackend/conn_test.go
+++ b/internal/backend/pgbackend/conn_test.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"net"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"cresspass/internal/backend/enginequery"
 	"cresspass/internal/backend/sessionparams"
 	"cresspass/internal/dispatch/response"
+	"cresspass/internal/dispatch/verdict"
 	"cresspass/internal/protocol/pgwire"
 )
 
@@ -146,6 +148,47 @@
 	}
 }
 
+// Guards against a memory grant that is believed to be in force although the engine refused it, or a rollback
+// undid it.
+func TestMemoryGrantIsSetAgain(t *testing.T) {
+	ready := pgwire.Message{Type: 'Z', Body: []byte("I")}
+	for name, messages := range map[string][]pgwire.Message{
+		"refused": {{Type: 'E', Body: []byte("SERROR\x00C22023\x00Mno\x00\x00")}, ready,
+			{Type: 'C', Body: []byte("SELECT 1\x00")}, ready},
+		"rolled back": {{Type: 'C', Body: []byte("SET\x00")}, ready,
+			{Type: 'C', Body: []byte("ROLLBACK\x00")}, ready},
+	} {
+		c, written := newPipedConn(t)
+		query := func() *Attempt {
+			a := &Attempt{Priority: -1, MemoryMB: 64, Stateful: true,
+				Query:    &enginequery.Query{Kind: enginequery.Simple, Text: "select 1"},
+				Response: response.New(discardSink{}, &response.BufferBudget{}, 0),
+				OnEnded:  func(Result) {},
+				Settle:   func(QueryEnd) Disposition { return Disposition{Known: true} }}
+			a.Response.BeginAttempt(0)
+			return a
+		}
+		c.start(query())
+		<-written
+		for _, m := range messages {
+			if err := c.handleMessage(m); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.start(query())
+		if request := <-written; !strings.Contains(request, "work_mem = '64MB'") {
+			t.Errorf("%s: the grant is not set again: %q", name, request)
+		}
+	}
+}
+
+// discardSink is the client of a response that nobody looks at.
+type discardSink struct{}
+
+func (discardSink) WritePartial([]byte)           {}
+func (discardSink) WriteFinal([]byte, bool)       {}
+func (discardSink) WriteVerdict(*verdict.Verdict) {}
+
 // newPipedConn returns a connection to an engine, and what is written to it.
 func newPipedConn(t *testing.T) (*conn, <-chan string) {
 	t.Helper()
--- a/internal/backend/pgbackend/message.go
+++ b/internal/backend/pgbackend/message.go
@@ -201,6 +201,7 @@
 // their error is its response.
 func (c *conn) handleSettingError(f pgwire.Fields, m pgwire.Message) {
 	if c.readyToSkip > 1 || c.gatedQuery == nil {
+		c.forgetResources()
 		return
 	}
 	c.failed, c.tainted, c.engineError = true, true, f
--- a/internal/backend/pgbackend/ready.go
+++ b/internal/backend/pgbackend/ready.go
@@ -150,7 +150,13 @@
 		clear(c.preparedByKey)
 		c.preparedLRU.Init()
 	}
-	if tag == "DISCARD ALL" || tag == "RESET" {
-		c.workMemMB, c.priority = unknownSetting, unknownSetting
+	switch tag {
+	case "DISCARD ALL", "RESET", "ROLLBACK": // a ROLLBACK undoes what was set before a query of its transaction
+		c.forgetResources()
 	}
 }
+
+// forgetResources has work_mem and the priority set again before the next query.
+func (c *conn) forgetResources() {
+	c.workMemMB, c.priority = unknownSetting, unknownSetting
+}
