Descriptions of statements are shared only among sessions that see the same tables

Callers: a session could be told the columns of another session's table, where search paths differ, or it has a temporary table.

Cause: the cache's key was the text and its parameter types; the PostgreSQL frontend asked it for sticky sessions too, and what those were told was put into it.

Evidence: TestDescriptionsFollowSettings on the code before: a temporary table and a transaction are described from the cache.

Fix: DescriptionKey holds the settings in force, and says no for a session on a connection of its own; both frontends and the engine connections use it. After: the packages of frontend and backend pass.

--- a/internal/backend/enginequery/query.go
+++ b/internal/backend/enginequery/query.go
@@ -49,6 +49,13 @@
 // PrepareKey identifies what an engine prepares for the query: its text and parameter types.
 func (q *Query) PrepareKey() string { return q.ParameterTypes + "\x00" + q.Text }
 
+// DescriptionKey identifies the description of the query's statement, which depends on the settings of its
+// session too, as its tables are found by them. ok is false where it may not be shared: on a connection of its
+// own, a session may have tables that no other sees.
+func (q *Query) DescriptionKey() (key string, ok bool) {
+	return q.PrepareKey() + q.Settings.Key(), !q.Sticky
+}
+
 // MayCopyIn reports whether the query may open copy-in mode by the extended protocol. No Sync is sent after
 // such a query until the copy has ended: an engine in copy-in mode skips a Sync, but it answers one if the
 // copy fails before that is read, so that the number of ReadyForQuery messages could not be foreseen.
--- a/internal/backend/pgbackend/ready.go
+++ b/internal/backend/pgbackend/ready.go
@@ -135,12 +135,16 @@
 
 // cacheDescription passes on a statement's description, or has it forgotten after an error.
 func (c *conn) cacheDescription(a *Attempt, o queryOutcome) {
+	if a.OnDescribed == nil || !o.failed && o.description == nil {
+		return
+	}
+	key, ok := a.Query.DescriptionKey()
 	switch {
-	case a.OnDescribed == nil:
+	case !ok:
 	case o.failed:
-		a.OnDescribed(a.Query.PrepareKey(), nil)
-	case o.description != nil:
-		a.OnDescribed(a.Query.PrepareKey(), o.description)
+		a.OnDescribed(key, nil)
+	default:
+		a.OnDescribed(key, o.description)
 	}
 }
 
--- a/internal/backend/sessionparams/set.go
+++ b/internal/backend/sessionparams/set.go
@@ -24,6 +24,19 @@
 	return ""
 }
 
+// Key identifies the settings in force; "": none is set.
+func (s *Set) Key() string {
+	if s == nil {
+		return ""
+	}
+	var key strings.Builder
+	for _, p := range s.list {
+		key.WriteString("\x00")
+		key.WriteString(p.Statement)
+	}
+	return key.String()
+}
+
 // With returns a set in which one setting is changed; an empty statement removes it.
 func (s *Set) With(name, statement string) *Set {
 	if s.Statement(name) == statement {
--- a/internal/frontend/flightsql/query.go
+++ b/internal/frontend/flightsql/query.go
@@ -59,12 +59,13 @@
 // A sticky scope may have a table of its own, so for its statements the cache does not count.
 func (s *Server) cachedDescription(sc *scope, text string) []byte {
 	sc.mu.Lock()
-	sticky := sc.affinity.Bound()
+	q := enginequery.Query{Text: text, Sticky: sc.affinity.Bound(), Settings: sc.affinity.Params.Desired()}
 	sc.mu.Unlock()
-	if s.cfg.CachedDescription == nil || sticky {
+	key, ok := q.DescriptionKey()
+	if s.cfg.CachedDescription == nil || !ok {
 		return nil
 	}
-	return s.cfg.CachedDescription((&enginequery.Query{Text: text}).PrepareKey())
+	return s.cfg.CachedDescription(key)
 }
 
 // parseDescription reads the messages that describe a statement.
--- a/internal/frontend/pgfrontend/pgsession/extended.go
+++ b/internal/frontend/pgfrontend/pgsession/extended.go
@@ -143,9 +143,10 @@
 		return
 	}
 	q := &enginequery.Query{Kind: enginequery.DescribeStatement, Text: st.text, Parsed: st.parsed,
-		ParameterTypes: st.parameterTypes}
-	if s.cfg.CachedDescription != nil {
-		if cached := s.cfg.CachedDescription(q.PrepareKey()); cached != nil {
+		ParameterTypes: st.parameterTypes, Sticky: s.Affinity.Bound(), Settings: s.Affinity.Params.Desired()}
+	key, ok := q.DescriptionKey()
+	if ok && s.cfg.CachedDescription != nil {
+		if cached := s.cfg.CachedDescription(key); cached != nil {
 			s.out = append(s.out, cached...)
 			return
 		}
