State log: nothing is acknowledged before the log's name is durable

Callers: after a power cut a write that had been sent could be missing in the state log, and its repeat ran a second time. Writes that were sent before their record was durable were told nowhere.

Cause: Rewrite reported success where the directory could not be opened; a sync that failed as the log was opened was never made again.

Fix: NeedsRewrite holds until the directory is synced, Append refuses meanwhile, and the store rewrites; a new directory is synced into its parent; unrecorded_writes in the health answer (left out while 0) and a log line. After: storage (with -race) and daemon pass.

--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -38,6 +38,9 @@
 	Rejected    uint64 `json:"refused"`
 	Failed      uint64 `json:"failed"`
 	Abandoned   uint64 `json:"gone"` // by their clients
+	// UnrecordedWrites counts attempts at writes that were sent before their record was durable: a crash may
+	// have sent them twice.
+	UnrecordedWrites uint64 `json:"unrecorded_writes,omitempty"`
 
 	// Violations counts by invariant how often it was violated; any is a defect.
 	Violations map[invariant.Name]uint64 `json:"violations"`
@@ -61,8 +64,11 @@
 		Rejected:    stats.Rejected,
 		Failed:      stats.Failed,
 		Abandoned:   stats.Abandoned,
-		Violations:  violations,
-		Withheld:    withheld,
+
+		UnrecordedWrites: d.server.UnrecordedWrites(),
+
+		Violations: violations,
+		Withheld:   withheld,
 	}
 }
 
--- a/internal/server/attempt.go
+++ b/internal/server/attempt.go
@@ -98,7 +98,7 @@
 	q.attempts[attempt] = a
 	q.attempted = true
 	s.mu.Unlock()
-	s.afterDurable(durable, func() { s.pool.Start(engine, a) })
+	s.afterDurable(writeID, durable, func() { s.pool.Start(engine, a) })
 }
 
 // attemptEnded takes the result of an attempt.
--- a/internal/server/write_recovery.go
+++ b/internal/server/write_recovery.go
@@ -20,7 +20,7 @@
 const noWriteRecord = 0
 
 // recordSent records an attempt that must not run twice, before it is sent. It returns the record's ID, or
-// noWriteRecord, and a channel that is closed once the record is durable.
+// noWriteRecord, and a channel that is closed once the record is durable; nil: it was dropped.
 func (s *Server) recordSent(q *query, engine cresspass.EngineID) (id uint64, durable <-chan struct{}) {
 	class := s.classByName(q.class)
 	store := s.store.Load()
@@ -44,13 +44,17 @@
 
 // maxDurableWait is how long an attempt waits for its record. One that is sent before its record is durable
 // is not known after a crash, and would be sent again within its deduplication window; but a disk that
-// fails must not stop queries.
+// fails must not stop queries. They are counted instead.
 const maxDurableWait = 100 * time.Millisecond
 
-// afterDurable calls start once a record is durable, or after maxDurableWait. A nil channel means no
-// record.
-func (s *Server) afterDurable(durable <-chan struct{}, start func()) {
+// afterDurable calls start once the record with an ID is durable, or after maxDurableWait.
+func (s *Server) afterDurable(id uint64, durable <-chan struct{}, start func()) {
+	if id == noWriteRecord {
+		start()
+		return
+	}
 	if durable == nil {
+		s.countUnrecordedWrite()
 		start()
 		return
 	}
@@ -62,11 +66,23 @@
 		select {
 		case <-durable:
 		case <-limit.C:
+			s.countUnrecordedWrite()
 		}
 		start()
 	}()
 }
 
+// countUnrecordedWrite counts a write that is sent before its record is durable.
+func (s *Server) countUnrecordedWrite() {
+	if s.unrecordedWrites.Add(1) == 1 {
+		s.log.Error("write sent before its record is durable; a crash now may send it twice",
+			"waited", maxDurableWait)
+	}
+}
+
+// UnrecordedWrites is how many attempts at writes were sent before their record was durable.
+func (s *Server) UnrecordedWrites() uint64 { return s.unrecordedWrites.Load() }
+
 // recordSentOutcome records the end of an attempt whose outcome is known. One whose outcome is unknown
 // stays on record until its window is over.
 func (s *Server) recordSentOutcome(id uint64, r pgbackend.Result) {
--- a/internal/storage/faults.go
+++ b/internal/storage/faults.go
@@ -26,6 +26,12 @@
 		}
 		return &faultyFile{f, rate}, nil
 	}
+	newDirectorySync = func(dir string) error {
+		if rand.Float64() < rate {
+			return syscall.EIO
+		}
+		return syncDirectory(dir)
+	}
 }
 
 // faultyFile is a file of which a share of the calls fails. A write that fails has written some of its bytes.
--- a/internal/storage/log.go
+++ b/internal/storage/log.go
@@ -53,7 +53,7 @@
 	// ErrLocked reports a directory that another process has locked.
 	ErrLocked = errors.New("storage: another process has locked the state directory")
 
-	errNotRewritten = errors.New("storage: the state log has not been rewritten since it was opened")
+	errNotRewritten = errors.New("storage: the state log has to be rewritten first")
 )
 
 func appendRecord(out []byte, r Record) []byte {
@@ -99,25 +99,28 @@
 type Log struct {
 	path          string
 	file          File  // nil until the log was rewritten once
+	unsyncedName  bool  // the directory was not synced since the file was renamed to its name
 	durableSize   int64 // bytes that are on the disk
 	tornTail      bool  // bytes of a failed append may stand behind them
 	compactedSize int64 // size after it was last rewritten
 	lockFile      *os.File
 	createFile    func(path string) (File, error)
+	syncDirectory func(dir string) error
 }
 
 // Open locks a directory and opens its log, and returns what it holds. What could not be read is logged; a
 // file of another form is set aside under the suffix .damaged. A disk that fails does not keep the log from
 // being opened: see NeedsRewrite.
 func Open(dir string, logger *slog.Logger) (*Log, []Record, error) {
-	if err := os.MkdirAll(dir, directoryMode); err != nil {
+	if err := makeDirectory(dir); err != nil {
 		return nil, nil, err
 	}
 	lockFile, err := lockDirectory(dir)
 	if err != nil {
 		return nil, nil, err
 	}
-	l := &Log{path: filepath.Join(dir, logName), lockFile: lockFile, createFile: newFile}
+	l := &Log{path: filepath.Join(dir, logName), lockFile: lockFile, createFile: newFile,
+		syncDirectory: newDirectorySync}
 	records, err := l.readFile(logger)
 	if err != nil {
 		return nil, nil, errors.Join(err, lockFile.Close())
@@ -172,17 +175,21 @@
 	return records, err
 }
 
-// newFile makes the files of logs. The build for the fault soak replaces it.
-var newFile = create
+// newFile makes the files of logs, and newDirectorySync syncs their directories. The build for the fault soak
+// replaces them.
+var (
+	newFile          = create
+	newDirectorySync = syncDirectory
+)
 
 func create(path string) (File, error) {
 	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, fileMode)
 }
 
 // Append adds records and makes them durable. After an error the log holds what it held before, and the next
-// call begins by cutting off what the failed one may have left.
+// call begins by cutting off what the failed one may have left. It fails while NeedsRewrite.
 func (l *Log) Append(records []Record) error {
-	if l.file == nil {
+	if l.NeedsRewrite() {
 		return errNotRewritten
 	}
 	// A reader stops at half a record, and bytes whose sync failed may be anything: records behind either
@@ -217,7 +224,7 @@
 }
 
 // Rewrite replaces the whole log. Where it fails before the rename, the log is as it was; where only the
-// sync of the directory fails, the new log is in use and may be lost in a power cut.
+// sync of the directory fails, a power cut may bring back the old log, and NeedsRewrite.
 func (l *Log) Rewrite(records []Record) error {
 	out := encodeHeader()
 	for _, r := range records {
@@ -242,14 +249,31 @@
 		_ = l.file.Close() // of a file that has no name any more
 	}
 	l.file, l.durableSize, l.compactedSize, l.tornTail = file, int64(len(out)), int64(len(out)), false
-	return syncDirectory(filepath.Dir(l.path))
+	l.unsyncedName = true
+	if err := l.syncDirectory(filepath.Dir(l.path)); err != nil {
+		return fmt.Errorf("storage: sync state directory: %w", err)
+	}
+	l.unsyncedName = false
+	return nil
+}
+
+// makeDirectory creates a directory, where there is none, that outlives a power cut.
+func makeDirectory(dir string) error {
+	_, err := os.Stat(dir)
+	if !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	if err := os.MkdirAll(dir, directoryMode); err != nil {
+		return err
+	}
+	return syncDirectory(filepath.Dir(dir))
 }
 
-// syncDirectory makes a rename in a directory durable. One that cannot be opened is passed over.
+// syncDirectory makes the names in a directory durable.
 func syncDirectory(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
-		return nil // the renamed log is in use either way
+		return err
 	}
 	err = d.Sync()
 	_ = d.Close() // it was opened for reading only
@@ -264,5 +288,6 @@
 	return errors.Join(l.file.Close(), l.lockFile.Close())
 }
 
-// NeedsRewrite reports whether the log could not be written since it was opened.
-func (l *Log) NeedsRewrite() bool { return l.file == nil }
+// NeedsRewrite reports whether the log could not be written since it was opened, or a power cut may still
+// bring back the one before it. What is appended to it might be lost.
+func (l *Log) NeedsRewrite() bool { return l.file == nil || l.unsyncedName }
