Relays of rehearsals record by the kernel's clock, and their decoders wait without a limit

Seen: beside a load of 40 TestThousandsOfRequests broke rule 1 ('sent after its end') now and then, rule 5 often.

Cause: in the instrument. Bytes were stamped as a goroutine came to read them; a decoder of answers gave up on its request after 1 s.

Fix: what a dispatcher writes has SO_TIMESTAMPNS, what it reads the time before which it could not; decoders wait until all that came is handled. Test, judge and skew are unchanged. A test of the store's directory sync ends by itself where it fails.

--- a/internal/rehearsal/rulecheck/flightsql.go
+++ b/internal/rehearsal/rulecheck/flightsql.go
@@ -59,12 +59,18 @@
 	mu      sync.Mutex
 	changed *sync.Cond
 	streams map[uint32]*rpc
+	up      *tap // the requests
 	ended   bool // no more requests
 }
 
 func (rec *Recorder) decodeGRPC(name string, up, down *tap) {
-	c := &grpcConn{recorder: rec, name: name, streams: map[uint32]*rpc{}}
+	c := &grpcConn{recorder: rec, name: name, streams: map[uint32]*rpc{}, up: up}
 	c.changed = sync.NewCond(&c.mu)
+	up.onWait = func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.changed.Broadcast()
+	}
 	requestsEnded := make(chan struct{})
 	go func() {
 		defer close(requestsEnded)
@@ -265,25 +271,17 @@
 	}
 }
 
-// awaitCall waits until a call's request was read: its own decoder may be a moment behind. It returns nil for
-// frames of the connection, and for a call that does not come. The caller holds c.mu.
+// awaitCall waits until a call's request was read: its own decoder may be behind. It returns nil for frames
+// of the connection, and for a call of which nothing has come. The caller holds c.mu.
 func (c *grpcConn) awaitCall(id uint32) *rpc {
 	if id == 0 {
 		return nil
 	}
-	timedOut := false
-	timeout := time.AfterFunc(requestDecodingLag, func() {
-		c.mu.Lock()
-		timedOut = true
-		c.mu.Unlock()
-		c.changed.Broadcast()
-	})
-	defer timeout.Stop()
 	for {
 		call := c.streams[id]
 		// A handshake by header has no message to wait for.
 		received := call != nil && (call.received || call.method == methodHandshake)
-		if received || timedOut || c.ended {
+		if received || c.ended || c.up.drained() {
 			return call
 		}
 		c.changed.Wait()
--- a/internal/rehearsal/rulecheck/postgres.go
+++ b/internal/rehearsal/rulecheck/postgres.go
@@ -8,9 +8,6 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// requestDecodingLag limits the wait of an answer's decoder for the decoder of its request.
-const requestDecodingLag = time.Second
-
 // replyKind is the kind of message for which an answer is pending, as the message's type byte.
 type replyKind byte
 
@@ -44,8 +41,8 @@
 	statements map[string]string
 
 	mu          sync.Mutex
-	decoded     *sync.Cond // a request was decoded, or stopWaiting was set
-	stopWaiting bool       // an answer must not wait for its request any longer
+	decoded     *sync.Cond // a request was decoded, or all that have come are
+	stopWaiting bool       // no more requests come
 	portals     map[string]portal
 	pending     []pendingReply
 	failed      bool // after an error in the extended protocol, until Sync's answer
@@ -57,6 +54,11 @@
 	s := &stream{recorder: rec, side: side, name: name, statements: map[string]string{},
 		portals: map[string]portal{}}
 	s.decoded = sync.NewCond(&s.mu)
+	up.onWait = func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.decoded.Broadcast()
+	}
 	from := pgproto3.NewBackend(up, io.Discard)
 	if !s.readStartup(from, up, down) {
 		up.discard()
@@ -73,7 +75,7 @@
 		defer close(requestsEnded)
 		s.readRequests(from, up)
 	}()
-	s.readAnswers(to, down)
+	s.readAnswers(to, up, down)
 	down.discard()
 	<-requestsEnded
 	s.recordConnectionEnd(down, up)
@@ -136,7 +138,7 @@
 	}
 }
 
-func (s *stream) readAnswers(to *pgproto3.Frontend, down *tap) {
+func (s *stream) readAnswers(to *pgproto3.Frontend, up, down *tap) {
 	for {
 		m, err := to.Receive()
 		s.mu.Lock()
@@ -148,30 +150,19 @@
 			return
 		}
 		if expectsReply(m) {
-			s.awaitRequest()
+			s.awaitRequest(up)
 		}
 		s.handleAnswer(m, down.at)
 		s.mu.Unlock()
 	}
 }
 
-// awaitRequest waits until a request is pending: its own decoder may be a moment behind. The caller holds
-// s.mu.
-func (s *stream) awaitRequest() {
-	if len(s.pending) > 0 || s.stopWaiting {
-		return
-	}
-	timeout := time.AfterFunc(requestDecodingLag, func() {
-		s.mu.Lock()
-		s.stopWaiting = true
-		s.mu.Unlock()
-		s.decoded.Broadcast()
-	})
-	for len(s.pending) == 0 && !s.stopWaiting {
+// awaitRequest waits until a request is pending: its own decoder may be behind. A request was recorded before
+// its answer, so that there is none once the decoder has handled all that came. The caller holds s.mu.
+func (s *stream) awaitRequest(up *tap) {
+	for len(s.pending) == 0 && !s.stopWaiting && !up.drained() {
 		s.decoded.Wait()
 	}
-	timeout.Stop()
-	s.stopWaiting = false
 }
 
 // expectsReply reports whether a message answers some request.
--- a/internal/rehearsal/rulecheck/relay.go
+++ b/internal/rehearsal/rulecheck/relay.go
@@ -21,9 +21,9 @@
 	name       string // of the dispatcher, or the engine's listed address
 	target     string
 	flight     bool // Flight SQL, not PostgreSQL
-	listener   net.Listener
+	listener   *net.TCPListener
 	mu         sync.Mutex
-	conns      map[net.Conn]struct{}
+	conns      map[*net.TCPConn]struct{}
 	closed     bool
 	background sync.WaitGroup
 }
@@ -40,12 +40,12 @@
 }
 
 func (rec *Recorder) newRelay(side Side, name, target string, flight bool) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return nil, err
 	}
 	r := &Relay{recorder: rec, flight: flight, side: side, name: name, target: target, listener: ln,
-		conns: map[net.Conn]struct{}{}}
+		conns: map[*net.TCPConn]struct{}{}}
 	if name == "" {
 		r.name = ln.Addr().String()
 	}
@@ -72,7 +72,7 @@
 func (r *Relay) accept() {
 	defer r.background.Done()
 	for {
-		c, err := r.listener.Accept()
+		c, err := r.listener.AcceptTCP()
 		if err != nil {
 			return
 		}
@@ -85,7 +85,7 @@
 }
 
 // trackConn registers a connection to be closed with the relay; false: the relay is closed already.
-func (r *Relay) trackConn(c net.Conn) bool {
+func (r *Relay) trackConn(c *net.TCPConn) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.closed {
@@ -95,7 +95,7 @@
 }
 
 // untrackConns forgets connections that have ended.
-func (r *Relay) untrackConns(conns ...net.Conn) {
+func (r *Relay) untrackConns(conns ...*net.TCPConn) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, c := range conns {
@@ -104,13 +104,14 @@
 }
 
 // serve relays one connection until both directions have ended.
-func (r *Relay) serve(client net.Conn) {
+func (r *Relay) serve(client *net.TCPConn) {
 	defer client.Close()
-	server, err := net.DialTimeout("tcp", r.target, relayDialTimeout)
+	conn, err := net.DialTimeout("tcp", r.target, relayDialTimeout)
 	if err != nil {
 		setResetOnClose(client) // as if the target itself had refused the connection
 		return
 	}
+	server := conn.(*net.TCPConn)
 	defer server.Close()
 	if !r.trackConn(client) || !r.trackConn(server) {
 		return
@@ -129,48 +130,44 @@
 	wg.Add(2)
 	go func() {
 		defer wg.Done()
-		pipe(server, client, up)
+		pipe(server, client, up, r.side == Engines)
 	}()
 	go func() {
 		defer wg.Done()
-		pipe(client, server, down)
+		pipe(client, server, down, r.side == Clients)
 	}()
 	wg.Wait()
 	r.untrackConns(client, server)
 }
 
 // pipe passes one direction's bytes on until it ends, and then ends the other connection in the same way:
-// closed for writing, or reset.
-func pipe(to, from net.Conn, t *tap) {
+// closed for writing, or reset. Bytes have the time at which the dispatcher wrote them, or before which it
+// could not read them.
+func pipe(to, from *net.TCPConn, t *tap, fromDispatcher bool) {
+	reader, err := newArrivalReader(from)
 	buf := make([]byte, relayBufferSize)
-	for {
-		n, err := from.Read(buf)
-		if n > 0 {
-			t.add(buf[:n]) // recorded before it is passed on, so that causes come before effects
-			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
-				err = writeErr
+	for err == nil {
+		var n int
+		var arrived time.Time
+		if n, arrived, err = reader.Read(buf); n > 0 {
+			if !fromDispatcher {
+				arrived = time.Now()
 			}
+			t.add(arrived, buf[:n]) // recorded before it is passed on, so that causes come before effects
+			_, err = to.Write(buf[:n])
 		}
-		if err == nil {
-			continue
-		}
-		t.end()
-		if errors.Is(err, io.EOF) {
-			if tcp, ok := to.(*net.TCPConn); ok {
-				_ = tcp.CloseWrite() // fails only on a connection that has ended already
-			}
-			return
-		}
-		setResetOnClose(to)
-		to.Close()
-		from.Close()
+	}
+	t.end()
+	if errors.Is(err, io.EOF) {
+		_ = to.CloseWrite() // fails only on a connection that has ended already
 		return
 	}
+	setResetOnClose(to)
+	to.Close()
+	from.Close()
 }
 
 // setResetOnClose has a connection reset when it is closed.
-func setResetOnClose(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(resetOnClose) // fails only on a connection that has ended already
-	}
+func setResetOnClose(c *net.TCPConn) {
+	_ = c.SetLinger(resetOnClose) // fails only on a connection that has ended already
 }
--- a/internal/rehearsal/rulecheck/statement_cache.go
+++ b/internal/rehearsal/rulecheck/statement_cache.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// statementWait limits the wait of a request's decoder for the answer that named its ticket, on another
+// connection.
+const statementWait = time.Second
+
 // statementCache has the statements behind tickets and handles of Flight SQL, of all connections.
 type statementCache struct {
 	mu      sync.Mutex
@@ -26,7 +30,7 @@
 // get waits for a statement: the answer that named its ticket came before the request that uses it, but the
 // decoder of the answer may be a moment behind. It returns "" where the statement does not come.
 func (t *statementCache) get(key []byte) string {
-	timeout := time.After(requestDecodingLag)
+	timeout := time.After(statementWait)
 	for {
 		t.mu.Lock()
 		text, ok := t.byKey[string(key)]
--- a/internal/rehearsal/rulecheck/tap.go
+++ b/internal/rehearsal/rulecheck/tap.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// chunk is bytes with the time at which they came.
+// chunk is bytes with the time at which they arrived.
 type chunk struct {
 	at   time.Time
 	data []byte
@@ -20,6 +20,8 @@
 	changed  *sync.Cond
 	queue    []chunk
 	ended    time.Time
+	waiting  bool      // the decoder has read all and waits
+	onWait   func()    // called as the decoder begins to wait; nil: nothing is
 	at       time.Time // of the bytes read last
 	unread   []byte
 }
@@ -30,9 +32,10 @@
 	return t
 }
 
-func (t *tap) add(b []byte) {
+// add takes bytes that arrived at a time.
+func (t *tap) add(at time.Time, b []byte) {
 	t.mu.Lock()
-	t.queue = append(t.queue, chunk{time.Now(), append([]byte(nil), b...)})
+	t.queue = append(t.queue, chunk{at, append([]byte(nil), b...)})
 	t.mu.Unlock()
 	t.changed.Signal()
 }
@@ -48,9 +51,7 @@
 func (t *tap) Read(b []byte) (int, error) {
 	if len(t.unread) == 0 {
 		t.mu.Lock()
-		for len(t.queue) == 0 && t.ended.IsZero() {
-			t.changed.Wait()
-		}
+		t.awaitChunk()
 		if len(t.queue) == 0 {
 			t.mu.Unlock()
 			return 0, io.EOF
@@ -66,6 +67,30 @@
 	return n, nil
 }
 
+// awaitChunk waits until there is a chunk, or the direction has ended. The caller holds t.mu.
+func (t *tap) awaitChunk() {
+	for len(t.queue) == 0 && t.ended.IsZero() {
+		if t.waiting {
+			t.changed.Wait()
+			continue
+		}
+		t.waiting = true
+		if t.onWait != nil {
+			t.mu.Unlock()
+			t.onWait()
+			t.mu.Lock()
+		}
+	}
+	t.waiting = false
+}
+
+// drained reports whether the decoder has handled all that has come.
+func (t *tap) drained() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.waiting && len(t.queue) == 0
+}
+
 // discard reads a tap to its end.
 func (t *tap) discard() { _, _ = io.Copy(io.Discard, t) } // neither side has an error but the end
 
--- a/internal/storage/directory_sync_test.go
+++ b/internal/storage/directory_sync_test.go
@@ -61,7 +61,11 @@
 		t.Fatal(err)
 	}
 	durable := s.PutDurable(WriteSentRecord(testWrite(1, t0)))
+	begin := time.Now()
 	for _, failed := s.Counts(); failed < 3; _, failed = s.Counts() {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatal("the directory's failing sync is not tried again")
+		}
 		time.Sleep(time.Millisecond)
 	}
 	select {
