--- a/internal/backend/enginequery/query.go
+++ b/internal/backend/enginequery/query.go
@@ -50,8 +50,8 @@
 func (q *Query) PrepareKey() string { return q.ParameterTypes + "\x00" + q.Text }
 
 // DescriptionKey identifies the description of the query's statement, which depends on the settings of its
-// session too, as its tables are found by them. ok is false where it may not be shared: on a connection of its
-// own, a session may have tables that no other sees.
+// session too, as its tables are found by them. ok is false where it may not be shared: a session on a
+// connection of its own may have tables that no other sees.
 func (q *Query) DescriptionKey() (key string, ok bool) {
 	return q.PrepareKey() + q.Settings.Key(), !q.Sticky
 }
--- a/internal/backend/pgbackend/ready.go
+++ b/internal/backend/pgbackend/ready.go
@@ -155,7 +155,7 @@
 		c.preparedLRU.Init()
 	}
 	switch tag {
-	case "DISCARD ALL", "RESET", "ROLLBACK": // a ROLLBACK undoes what was set before a query of its transaction
+	case "DISCARD ALL", "RESET", "ROLLBACK": // the last undoes what was set before a query of its transaction
 		c.forgetResources()
 	}
 }
--- a/internal/frontend/pgfrontend/pgsession/local.go
+++ b/internal/frontend/pgfrontend/pgsession/local.go
@@ -38,7 +38,8 @@
 // settings that no engine is sent: the engine would answer with its own. Where a function may have set one,
 // and in a failed transaction, the engine has the word.
 func (s *Session) allShowDispatcherSettings(parsed []sqlscan.Statement) bool {
-	if s.Affinity.Status() == enginequery.StatusFailedTransaction || s.Affinity.Holds(affinity.ReasonUnknownEffect) {
+	if s.Affinity.Status() == enginequery.StatusFailedTransaction ||
+		s.Affinity.Holds(affinity.ReasonUnknownEffect) {
 		return false
 	}
 	for i := range parsed {
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -23,7 +23,8 @@
 	{"dispatch/...", "invariant", "eventlog", "overload/...", "wire", "recording"},
 	{"."}, // the decision module
 	{"protocol/...", "netlisten", "timingwheel", "oserr", "daemon/signals", "daemon/lifecycle"},
-	{"elfcheck", "goldentest", "knownred", "layers", "experiments", "rehearsals"}, // import nothing of this module
+	// These import nothing of this module.
+	{"elfcheck", "goldentest", "knownred", "layers", "experiments", "rehearsals"},
 }
 
 // layerOf returns the index of a package's group, or -1 where no entry fits.
--- a/internal/membership/validation/unknown_engines_test.go
+++ b/internal/membership/validation/unknown_engines_test.go
@@ -80,7 +80,8 @@
 		}
 		cores := max(float64(known)*engineCores, presumedCores)
 		if limit := 2 * (v.limits.MaxPeerThreadsPerCore*cores + v.limits.MaxQueryThreads); accepted > limit {
-			t.Errorf("%d engines known: %v threads of small lies accepted, at most %v", known, accepted, limit)
+			t.Errorf("%d engines known: %v threads of small lies accepted, at most %v",
+				known, accepted, limit)
 		}
 		if got := v.Validate(20*second, clock, 101, memberCount, onAllEngines(sent, 9)); got != OutOfRange {
 			t.Errorf("%d engines known: queries of nine threads: %v", known, got)
--- a/internal/server/dispatcher_setting_test.go
+++ b/internal/server/dispatcher_setting_test.go
@@ -28,10 +28,12 @@
 		{"set application_name='x';; begin;; set application_name='y';; rollback", "9000ms", "x"},
 		{"begin;; set local statement_timeout='7s'", "7000ms", "started"},
 		{"begin;; set local statement_timeout='7s';; commit", "9000ms", "started"},
-		{"begin;; set statement_timeout='6s';; set local statement_timeout='7s';; commit", "6000ms", "started"},
-		{"begin;; set local statement_timeout='7s';; set statement_timeout='6s';; commit", "6000ms", "started"},
-		{"begin;; set application_name='x';; savepoint a;; set application_name='y';; rollback to a", "9000ms",
-			"x"},
+		{"begin;; set statement_timeout='6s';; set local statement_timeout='7s';; commit",
+			"6000ms", "started"},
+		{"begin;; set local statement_timeout='7s';; set statement_timeout='6s';; commit",
+			"6000ms", "started"},
+		{"begin;; set application_name='x';; savepoint a;; set application_name='y';; rollback to a",
+			"9000ms", "x"},
 		{"begin;; set application_name='x';; savepoint a;; set application_name='y';; rollback to a;; commit",
 			"9000ms", "x"},
 		{"set application_name='x';; begin;; reset all;; rollback", "9000ms", "x"},
@@ -47,7 +49,8 @@
 		}
 		timeout, timeoutErr := showSetting(context.Background(), conn, "statement_timeout")
 		application, applicationErr := showSetting(context.Background(), conn, "application_name")
-		if timeout != c.timeout || application != c.application || timeoutErr != nil || applicationErr != nil {
+		if timeout != c.timeout || application != c.application ||
+			timeoutErr != nil || applicationErr != nil {
 			t.Errorf("%s: %q %q (%v %v), want %q %q", c.statements, timeout, application, timeoutErr,
 				applicationErr, c.timeout, c.application)
 		}
