Flight: a ParameterDescription under two bytes is an error, not a panic

Callers: an engine's message that is cut short made the call end in a recovered panic, with INTERNAL and no reason.

Cause: parseDescription took the types behind the number before it looked at ParameterSchema's error.

Evidence: TestTruncatedParameterDescription on the code before: slice bounds out of range. After: passes.

--- /dev/null
+++ b/internal/frontend/flightsql/description_test.go
@@ -0,0 +1,16 @@
+package flightsql
+
+import (
+	"testing"
+
+	"cresspass/internal/protocol/pgwire"
+)
+
+// Guards against a panic by an engine's ParameterDescription that is cut short.
+func TestTruncatedParameterDescription(t *testing.T) {
+	for size := range 2 {
+		if _, err := parseDescription(pgwire.Append(nil, 't', make([]byte, size))); err == nil {
+			t.Errorf("a ParameterDescription of %d bytes is accepted", size)
+		}
+	}
+}
--- a/internal/frontend/flightsql/query.go
+++ b/internal/frontend/flightsql/query.go
@@ -74,8 +74,9 @@
 	err := forEachMessage(b, func(kind byte, body []byte) (err error) {
 		switch kind {
 		case 't': // ParameterDescription
-			d.params, err = arrowbatch.ParameterSchema(body)
-			d.parameterTypes = string(body[2:]) // after their number
+			if d.params, err = arrowbatch.ParameterSchema(body); err == nil {
+				d.parameterTypes = string(body[2:]) // after their number
+			}
 		case 'T': // RowDescription
 			d.rows, err = arrowbatch.NewSchema(body, true)
 		}
