--- a/internal/config/overrides.go
+++ b/internal/config/overrides.go
@@ -43,10 +43,11 @@
 	if m.Ordinal < 0 || m.Ordinal >= m.GatewayCount {
 		return fmt.Errorf("ordinal %d is not within the %d gateways", m.Ordinal, m.GatewayCount)
 	}
-	if cfg.Flight.Listen != "" {
-		if err := CheckLoopback(cfg.Flight.Listen); err != nil {
-			return err
+	var invalid []error
+	for _, address := range []string{cfg.Flight.Listen, cfg.HealthAddr} {
+		if address != "" {
+			invalid = append(invalid, CheckLoopback(address))
 		}
 	}
-	return errors.Join(CheckLoopback(cfg.Listen), CheckLoopback(cfg.DiscoveryAddr))
+	return errors.Join(append(invalid, CheckLoopback(cfg.Listen), CheckLoopback(cfg.DiscoveryAddr))...)
 }
