--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -207,3 +207,16 @@
 		t.Error("a key of five bytes is accepted")
 	}
 }
+
+// Guards against keys of which some are in service although the change has failed.
+func TestWrongKeyChangesNothing(t *testing.T) {
+	f := &testFleet{t: t, received: map[string][]string{}}
+	s := f.start("a", [][]byte{testKey(1)})
+	defer s.Close()
+	if err := s.SetKeys([][]byte{testKey(2), []byte("short")}); err == nil {
+		t.Error("a key of five bytes is accepted")
+	}
+	if keys := s.keyring.GetKeys(); len(keys) != 1 || !bytes.Equal(keys[0], testKey(1)) {
+		t.Errorf("keys %x in service after a change that failed", keys)
+	}
+}
