Reload: what is reported as changed is in force, and a failed one changes nothing

Callers: drain_for was reported as reloaded and held from the start only; hold_back and client_buffer held for PostgreSQL alone; with wrong keys of peers the reload was reported as failed and had applied the rest; a successor that could not join its peers said nothing.

Cause: the lifecycle machine and the Flight frontend kept their first settings; Server.Reload set the keys last; takeOver dropped the error.

Fix: SetDrainTimeout, SetBuffers, keys first; the reason why membership was not joined is logged once. Flight's buffers and the order in Reload have no test of their own. A COPY's buffer at the engines' connections still holds from the start.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -73,7 +73,7 @@
 	case lifecycle.RejectSuccessor:
 		d.handover.reject(a.SuccessorID)
 	case lifecycle.StartDrain:
-		d.logger.Info("draining", "timeout", d.options.Config.DrainTimeout)
+		d.logger.Info("draining", "timeout", d.machine.DrainTimeout())
 		if d.handover != nil {
 			d.handover.announceDrain()
 		}
@@ -100,6 +100,7 @@
 		d.logger.Error("settings not reloaded", "error", err)
 		return
 	}
+	d.machine.SetDrainTimeout(cfg.DrainTimeout)
 	if d.options.LogLevel != nil {
 		if err := d.options.LogLevel.UnmarshalText([]byte(cfg.LogLevel)); err != nil {
 			d.logger.Error("log level not changed", "error", err)
--- a/internal/daemon/lifecycle/machine.go
+++ b/internal/daemon/lifecycle/machine.go
@@ -84,6 +84,12 @@
 // New returns the machine of a daemon that starts.
 func New(cfg Config) *Machine { return &Machine{cfg: cfg} }
 
+// SetDrainTimeout changes how long the next drain may take. One that is under way keeps its end.
+func (m *Machine) SetDrainTimeout(timeout time.Duration) { m.cfg.DrainTimeout = timeout }
+
+// DrainTimeout returns how long a drain may take.
+func (m *Machine) DrainTimeout() time.Duration { return m.cfg.DrainTimeout }
+
 // State returns where the daemon is.
 func (m *Machine) State() State { return m.state }
 
--- a/internal/frontend/flightsql/call.go
+++ b/internal/frontend/flightsql/call.go
@@ -110,7 +110,7 @@
 			ParameterTypes: st.parameterTypes, BindBody: st.bindBody,
 			WithDescribe: st.kind == enginequery.Execute},
 		OnResponseEnded: func() { sc.releaseTurn(c.id) }}
-	q.Response = response.New(c, s.cfg.Budget, s.cfg.HoldBack)
+	q.Response = response.New(c, s.cfg.Budget, int(s.holdBack.Load()))
 	q.Throttle = c.awaitCapacity
 	q.StartCopyIn = func(*copyin.Pipe) bool { return false } // COPY is not served over Flight SQL
 	q.OnCopyCapacity = func() {}
@@ -162,7 +162,7 @@
 func (c *call) awaitCapacity() {
 	for {
 		c.mu.Lock()
-		full := len(c.buf) > c.server.cfg.ClientBuffer && !c.done
+		full := int64(len(c.buf)) > c.server.clientBuffer.Load() && !c.done
 		c.mu.Unlock()
 		if !full {
 			return
--- a/internal/frontend/flightsql/server.go
+++ b/internal/frontend/flightsql/server.go
@@ -108,6 +108,8 @@
 	startTime  time.Time // that tickets and sessions count from
 	mem        memory.Allocator
 
+	holdBack     atomic.Int64 // as in Config, or set by SetBuffers, as is clientBuffer
+	clientBuffer atomic.Int64
 	nextID       atomic.Uint64
 	pendingBytes atomic.Int64 // untaken ones of all calls
 	draining     atomic.Bool
@@ -127,6 +129,13 @@
 	listeners      []net.Listener
 }
 
+// SetBuffers changes how many bytes of a response are buffered before the first goes out, and how many a call
+// may leave untaken.
+func (s *Server) SetBuffers(holdBack, clientBuffer int) {
+	s.holdBack.Store(int64(holdBack))
+	s.clientBuffer.Store(int64(clientBuffer))
+}
+
 // New returns a server that submits queries to dispatcher.
 func New(cfg Config, dispatcher frontend.Dispatcher, log *slog.Logger) *Server {
 	s := &Server{cfg: cfg, dispatcher: dispatcher, log: log, ticketKey: make([]byte, ticketKeySize),
@@ -136,6 +145,7 @@
 		sessions: map[string]*session{}, endReasons: map[string]string{},
 		runningFetches: map[uint64]map[*call]struct{}{}, clientConns: map[*clientConn]struct{}{},
 		connsByAddr: map[string]*countedConn{}}
+	s.SetBuffers(cfg.HoldBack, cfg.ClientBuffer)
 	rand.Read(s.ticketKey)
 	s.Alloc = s.mem
 	s.registerSQLInfo()
--- a/internal/server/maintenance.go
+++ b/internal/server/maintenance.go
@@ -54,6 +54,6 @@
 		s.takeOverState()
 	}
 	if s.cfg.TakingOver && s.cfg.Peers.Listen != "" && s.membership.Load() == nil && ctx.Err() == nil {
-		_ = s.joinMembership() // tried again after the next interval
+		s.logMembershipError(s.joinMembership()) // tried again after the next interval
 	}
 }
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -61,6 +61,17 @@
 	return nil
 }
 
+// logMembershipError logs why membership was not joined, once for each reason.
+func (s *Server) logMembershipError(err error) {
+	if err == nil {
+		return
+	}
+	if text := err.Error(); text != s.lastMembershipError {
+		s.lastMembershipError = text
+		s.log.Error("membership not joined", "error", err)
+	}
+}
+
 // membershipConfig returns the settings of membership.
 func (s *Server) membershipConfig() membership.Config {
 	peers, module := &s.cfg.Peers, &s.cfg.Module
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -17,17 +17,20 @@
 	if len(restart) > 0 {
 		return nil, fmt.Errorf("nothing is changed: %v need a restart", restart)
 	}
+	if p := s.membership.Load(); p != nil {
+		if err := p.SetKeys(cfg.Peers.Keys); err != nil {
+			return nil, fmt.Errorf("nothing is changed: %w", err)
+		}
+	}
 	s.activeConfig = cfg
 	s.classifier.Store(classify.New(cfg))
 	s.pgFrontend.Reload(func(f *pgfrontend.Config) {
 		f.MaxClients, f.StartupTimeout = cfg.MaxClients, cfg.StartupTimeout
 		f.HoldBack, f.ClientBuffer = cfg.HoldBack, cfg.ClientBuffer
 	})
-	s.overloadLimiter.SetLimits(overloadLimits(cfg))
-	if p := s.membership.Load(); p != nil {
-		if err := p.SetKeys(cfg.Peers.Keys); err != nil {
-			return changed, err
-		}
+	if s.flightFrontend != nil {
+		s.flightFrontend.SetBuffers(cfg.HoldBack, cfg.ClientBuffer)
 	}
+	s.overloadLimiter.SetLimits(overloadLimits(cfg))
 	return changed, nil
 }
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -66,6 +66,8 @@
 	store       atomic.Pointer[storage.Store]      // nil: no state is stored (yet)
 	engineList  atomic.Pointer[eds.List]           // the last; nil: none yet
 	loopLagging atomic.Bool
+	// lastMembershipError is the last reason why membership was not joined, of the maintenance goroutine.
+	lastMembershipError string
 	// unrecordedWrites counts attempts that were sent before their record was durable.
 	unrecordedWrites atomic.Uint64
 
