SHOW default_transaction_read_only is answered without an engine connection

Callers: 42704, 'is not known here', for a setting that every client is told of at its start.

Cause: it is among the settings answered here, and had no default value.

Evidence: the golden conversation held the error; it holds the row 'off' now, as PostgreSQL gives it, and no other line changes.

--- a/internal/frontend/pgfrontend/pgsession/localsettings.go
+++ b/internal/frontend/pgfrontend/pgsession/localsettings.go
@@ -33,7 +33,7 @@
 var defaultValues = map[string]string{
 	"client_encoding": "UTF8", "server_encoding": "UTF8", "datestyle": "ISO, MDY", "timezone": "UTC",
 	"time zone": "UTC", "standard_conforming_strings": "on", "extra_float_digits": "1",
-	"integer_datetimes": "on",
+	"integer_datetimes": "on", "default_transaction_read_only": "off",
 }
 
 // settingError is why a statement about settings fails, in the terms of an ErrorResponse.
