Module: sums of reports are added in the order of the gateways

Cause: sumReports added floating-point loads in a map's order; the sums differ in the last bit.

Fix: sorted by gateway, once a broadcast (not on the way of a query).

--- a/gossip.go
+++ b/gossip.go
@@ -1,7 +1,9 @@
 package cresspass
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -179,9 +181,11 @@
 	g.applyAggregate(sums)
 }
 
-// sumReports adds up the loads of the reports that are not too old.
+// sumReports adds up the loads of the reports that are not too old. Their order is fixed, as the sum of
+// fractions depends on it in its last bit, and the same events have to give the same actions.
 func (g *Gateway) sumReports() {
-	for _, r := range g.gossip.reports {
+	for _, peer := range slices.Sorted(maps.Keys(g.gossip.reports)) {
+		r := g.gossip.reports[peer]
 		if g.now-r.at >= peerReportLifetime {
 			continue
 		}
--- a/gossip_test.go
+++ b/gossip_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// Guards against sums that differ from run to run by the order in which reports are added.
+func TestSumsDoNotDependOnMapOrder(t *testing.T) {
+	b := newHarness(t, largeFleetConfig(), standardEngines(1)...)
+	for peer := range 40 {
+		b.g.gossip.reports[peer] = uniformPeerReport(b, 0.1+float64(peer)/7)
+	}
+	e := b.g.engineList[0]
+	b.g.sumReports()
+	first := e.aggregateLoad
+	for range 200 {
+		e.aggregateLoad = 0
+		if b.g.sumReports(); e.aggregateLoad != first {
+			t.Fatalf("sums %v and %v of the same reports", first, e.aggregateLoad)
+		}
+	}
+}
+
 // uniformPeerReport is a peer's report of the same load on all engines.
 func uniformPeerReport(b *harness, load float64) receivedReport {
 	r := receivedReport{at: b.now}
