Discovery: streams that bring nothing are followed by a backoff

Callers: a discovery that accepts and closes at once was polled by each dispatcher each 25 to 50 ms, for as long as that went on.

Cause: the backoff began again after each stream, also an empty one.

Fix: only a stream that brought a byte begins it again.

--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -168,8 +168,10 @@
 		if older = remaining; result.stream != nil {
 			older.abandon()
 			older = nil
-			err = w.readStream(result.stream)
-			w.backoff.Reset()
+			var received bool
+			if received, err = w.readStream(result.stream); received {
+				w.backoff.Reset()
+			}
 		}
 		if err != nil && ctx.Err() == nil {
 			w.service.log.Warn("discovery call failed", "address", addr, "last_event", lastEvent,
@@ -179,8 +181,8 @@
 	}
 }
 
-// readStream applies the events of a stream until it ends, and returns why it did.
-func (w *watcher) readStream(s *eventStream) error {
+// readStream applies the events of a stream until it ends, and returns why it did, and whether anything came.
+func (w *watcher) readStream(s *eventStream) (received bool, err error) {
 	defer s.close()
 	stop := context.AfterFunc(s.ctx, func() { expire(s.conn) })
 	defer stop()
@@ -189,21 +191,22 @@
 	begun := time.Now()
 	for {
 		if !extendDeadline(s.ctx, s.conn, streamSilenceTimeout) {
-			return s.ctx.Err()
+			return received, s.ctx.Err()
 		}
 		n, err := s.body.Read(b)
+		received = received || n > 0
 		if s.ctx.Err() != nil {
-			return s.ctx.Err()
+			return received, s.ctx.Err()
 		}
 		if err := w.feed(&parser, b[:n], begun); err != nil {
-			return err
+			return received, err
 		}
 		if err != nil {
 			var netErr net.Error
 			if errors.As(err, &netErr) && netErr.Timeout() {
 				err = errStreamSilent
 			}
-			return err
+			return received, err
 		}
 	}
 }
--- a/internal/platform/watcher_test.go
+++ b/internal/platform/watcher_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"slices"
 	"testing"
@@ -119,6 +120,31 @@
 	}
 }
 
+// Guards against a discovery service that accepts and closes at once, and is polled again without a backoff.
+func TestEmptyStreamsAreBackedOff(t *testing.T) {
+	const polls = 8
+	polled := make(chan time.Time, polls)
+	empty := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		select {
+		case polled <- time.Now():
+		default:
+		}
+	}))
+	t.Cleanup(empty.Close)
+	h := newHarness(t, 256)
+	h.watcher.redirect(serverAddr(empty))
+	var at []time.Time
+	for range polls {
+		at = append(at, <-polled)
+	}
+	// By now a pause is maxReconnectDelay/2 at least; without a backoff it is minReconnectDelay at most.
+	if last := at[polls-1].Sub(at[polls-2]); last < maxReconnectDelay/4 {
+		t.Errorf("polled again %v after the last empty stream", last)
+	}
+}
+
 // TestRedirectInterruptsBackoff: a new address of the discovery service is polled at once, whatever the
 // backoff.
 func TestRedirectInterruptsBackoff(t *testing.T) {
