Endpoint discovery: a service that falls silent is noticed by pings

Callers: a discovery that vanished or hung looked like one whose list does not change; engines that drained or came were not heard of, and TCP never gives up where nothing is sent.

Cause: the gRPC client had no keep-alive.

Evidence: TestSilentServiceIsNoticed with the pings taken out fails after its minute; with them the silence is noticed 10 s after the last response. A service that wants fewer pings gets half as many. The stand-in takes them as often as the library sends them.

--- a/internal/discovery/eds/client.go
+++ b/internal/discovery/eds/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strings"
 	"time"
 
 	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
@@ -13,6 +14,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 )
 
 // Source is where engine lists come from.
@@ -31,8 +33,21 @@
 	NodeID  string // how the dispatcher identifies itself
 	Log     *slog.Logger
 	refresh chan struct{} // holds at most one request to refresh
+
+	pingInterval time.Duration // without a response, after which the service is pinged
+	pingTimeout  time.Duration // after which a service that does not answer a ping has failed
 }
 
+// A service that vanished, or hangs, sends nothing, as one does whose list does not change. A ping tells them
+// apart.
+const (
+	defaultPingInterval = 30 * time.Second
+	defaultPingTimeout  = 5 * time.Second
+	// tooManyPings is what a service closes the connection with that wants fewer pings ("PING" in gRPC's
+	// keepalive).
+	tooManyPings = "too_many_pings"
+)
+
 // NewClient returns a client that is not yet running.
 func NewClient(address, service, nodeID string, log *slog.Logger) *Client {
 	return &Client{
@@ -41,6 +56,9 @@
 		NodeID:  nodeID,
 		Log:     log,
 		refresh: make(chan struct{}, 1),
+
+		pingInterval: defaultPingInterval,
+		pingTimeout:  defaultPingTimeout,
 	}
 }
 
@@ -69,6 +87,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if strings.Contains(err.Error(), tooManyPings) {
+			c.pingInterval *= 2
+		}
 		failed(err)
 		if accepted {
 			backoff = minBackoff
@@ -89,7 +110,8 @@
 func (c *Client) subscribe(ctx context.Context, list func(*List)) (accepted bool, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	conn, err := grpc.NewClient(c.Address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	conn, err := grpc.NewClient(c.Address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: c.pingInterval, Timeout: c.pingTimeout}))
 	if err != nil {
 		return false, err
 	}
--- /dev/null
+++ b/internal/discovery/eds/silent_test.go
@@ -0,0 +1,91 @@
+package eds
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	endpointservice "github.com/envoyproxy/go-control-plane/envoy/service/endpoint/v3"
+	"google.golang.org/grpc"
+)
+
+// silentService accepts subscriptions and never responds.
+type silentService struct {
+	endpointservice.UnimplementedEndpointDiscoveryServiceServer
+}
+
+func (silentService) StreamEndpoints(s endpointservice.EndpointDiscoveryService_StreamEndpointsServer) error {
+	<-s.Context().Done()
+	return s.Context().Err()
+}
+
+// forwardUntil passes bytes on until silent is set; from then on they are read and dropped.
+func forwardUntil(silent *atomic.Bool, to, from net.Conn) {
+	buffer := make([]byte, 1024)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if silent.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a service that vanished, or hangs, and is taken for one whose list does not change.
+func TestSilentServiceIsNoticed(t *testing.T) {
+	t.Parallel()
+	service, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := grpc.NewServer()
+	endpointservice.RegisterEndpointDiscoveryServiceServer(server, silentService{})
+	go func() { _ = server.Serve(service) }() // it ends with Stop
+	defer server.Stop()
+	link, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	var silent atomic.Bool
+	go func() {
+		for {
+			near, err := link.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", service.Addr().String())
+			if err != nil {
+				near.Close()
+				return
+			}
+			go forwardUntil(&silent, far, near)
+			go forwardUntil(&silent, near, far)
+		}
+	}()
+	c := NewClient(link.Addr().String(), "engines", "node", slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.pingInterval, c.pingTimeout = 10*time.Second, 200*time.Millisecond // the least that the library takes
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	noticed := make(chan error, 1)
+	time.AfterFunc(time.Second, func() { silent.Store(true) })
+	c.Run(ctx, func(*List) {}, func(err error) {
+		select {
+		case noticed <- err:
+		default:
+		}
+		cancel()
+	})
+	if ctx.Err() == context.DeadlineExceeded || len(noticed) == 0 {
+		t.Error("a silent service is not noticed within a minute")
+	}
+}
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -11,6 +11,7 @@
 	endpointservice "github.com/envoyproxy/go-control-plane/envoy/service/endpoint/v3"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/types/known/anypb"
 
@@ -19,6 +20,9 @@
 
 var errUnavailable = status.Error(codes.Unavailable, "out of reach")
 
+// acceptPings lets clients ping as often as gRPC's library allows them to.
+var acceptPings = grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 10 * time.Second})
+
 // DiscoveryServer is a stand-in for an endpoint discovery service: it pushes a list to all
 // subscribers. Changes can be delayed, and the service can be made unavailable.
 type DiscoveryServer struct {
@@ -52,7 +56,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &DiscoveryServer{service: service, server: grpc.NewServer(), addr: ln.Addr().String(),
+	r := &DiscoveryServer{service: service, server: grpc.NewServer(acceptPings), addr: ln.Addr().String(),
 		changed:     make(chan struct{}),
 		unavailable: make(chan struct{})}
 	endpointservice.RegisterEndpointDiscoveryServiceServer(r.server, r)
