--- a/internal/backend/pgbackend/conn_test.go
+++ b/internal/backend/pgbackend/conn_test.go
@@ -66,25 +66,7 @@
 // is not sent where it may not start any more by then, and its connection stays usable with those
 // settings.
 func TestMayStartRecheckedAfterSettings(t *testing.T) {
-	near, far := net.Pipe()
-	defer near.Close()
-	defer far.Close()
-	p := NewPool(Config{MaxConnections: 4, MaxPrepared: 4})
-	defer p.Close()
-	e := p.engineFor("engine")
-	c := &conn{pool: p, engine: e, netConn: near}
-	e.conns[c] = struct{}{}
-	written := make(chan string, 8)
-	go func() {
-		b := make([]byte, 4096)
-		for {
-			n, err := far.Read(b)
-			if err != nil {
-				return
-			}
-			written <- string(b[:n])
-		}
-	}()
+	c, written := newPipedConn(t)
 	settings := (&sessionparams.Set{}).With("search_path", "s")
 	ended := make(chan Result, 2)
 	mayStart := true
@@ -111,8 +93,8 @@
 	case b := <-written:
 		t.Fatalf("written: %q", b)
 	}
-	if len(e.idle) != 1 || c.settings != settings {
-		t.Errorf("%d idle connections, want the one with the settings", len(e.idle))
+	if len(c.engine.idle) != 1 || c.settings != settings {
+		t.Errorf("%d idle connections, want the one with the settings", len(c.engine.idle))
 	}
 }
 
