Soak: requests until the kill, signals in series, crowds

Clients send on open connections until the process has ended; the kill comes at the platform's earliest, the longest deadline and 0.7 s. New: SIGHUPs into and after SIGTERM, SIGTERM again, SIGKILL and SIGTERM up to 20 ms after a start, and in three runs of ten a crowd that fills the descriptors. They come from a second stream of the seed, so that a seed keeps its earlier faults.

--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -174,7 +174,9 @@
 func (d *dispatcher) expectFullDescriptors(duration time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.descriptorsFullUntil = time.Now().Add(duration)
+	if until := time.Now().Add(duration); until.After(d.descriptorsFullUntil) {
+		d.descriptorsFullUntil = until
+	}
 }
 
 func (d *dispatcher) descriptorsMayBeFull() bool {
--- a/internal/soak/faultkind.go
+++ b/internal/soak/faultkind.go
@@ -10,6 +10,11 @@
 	Reload      FaultKind = "reload"       // discovery moves to its other address, then SIGHUP
 	ReloadBurst FaultKind = "reload-burst" // several in quick succession
 	Pause       FaultKind = "pause"        // the process does not run for a moment, as on a full core
+
+	ReloadsIntoTerminate FaultKind = "reloads-terminate"  // SIGHUPs before, at and after SIGTERM
+	TerminateTwice       FaultKind = "terminate-twice"    // SIGTERM again, as the shutdown is under way
+	KillAtStart          FaultKind = "kill-at-start"      // SIGKILL, and again as the next one starts
+	TerminateAtStart     FaultKind = "terminate-at-start" // SIGKILL, and SIGTERM as the next one starts
 )
 
 // Faults of the discovery service as one dispatcher sees it.
@@ -37,6 +42,7 @@
 	ClientsDisconnect FaultKind = "clients-leave"  // all close their connections, with requests open
 	ClientsCancel     FaultKind = "clients-cancel" // all open requests are cancelled
 	ClientsIdle       FaultKind = "clients-idle"   // many connections that send nothing
+	ClientsCrowd      FaultKind = "clients-crowd"  // idle connections fill the descriptors, again and again
 	MalformedClients  FaultKind = "strangers"      // cancel all they send, and raise no retry budget
 )
 
@@ -71,4 +77,5 @@
 		NodeDrain, NodeCrash, NodeHang, NodesHang, NodeFull, NodeErrors, NodeAnswersTwice,
 	}
 	processFaults = []FaultKind{ClockStep, CallsFail, DialsLate}
+	signalSeries  = []FaultKind{ReloadsIntoTerminate, TerminateTwice, KillAtStart, TerminateAtStart}
 )
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -5,7 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -18,7 +20,10 @@
 	idleResetInterval = 150 * time.Millisecond // between resets of idle connections
 	idleClients       = 60                     // connections that send nothing
 	idleClientsSlack  = 300 * time.Millisecond // after their end, descriptors may still be taken
-	malformedInterval = 5 * time.Millisecond   // between connections of malformed clients
+	crowdInterval     = 700 * time.Millisecond // between looks at how many of a crowd are still connected
+	reloadsInSeries   = 3
+	signalPause       = 20 * time.Millisecond // the longest between two signals of a series
+	malformedInterval = 5 * time.Millisecond  // between connections of malformed clients
 	maxDialDelay      = 1500 * time.Millisecond
 	failingCallShare  = 0.4
 )
@@ -32,6 +37,15 @@
 	ReloadBurst: injectReloadBurst,
 	Pause:       func(_ *fleet, fault Fault, d *dispatcher) { d.pause(fault.Duration) },
 
+	ReloadsIntoTerminate: injectReloadsIntoTerminate,
+	TerminateTwice:       injectTerminateTwice,
+	KillAtStart: func(_ *fleet, fault Fault, d *dispatcher) {
+		d.signalAtStart(syscall.SIGKILL, signalDelay(fault))
+	},
+	TerminateAtStart: func(_ *fleet, fault Fault, d *dispatcher) {
+		d.signalAtStart(syscall.SIGTERM, signalDelay(fault))
+	},
+
 	DiscoveryDown:      discoveryFault(func(s *discoveryServer, on bool) { s.down = on }),
 	DiscoverySilent:    discoveryFault(func(s *discoveryServer, on bool) { s.silent = on }),
 	DiscoverySlow:      discoveryFault(func(s *discoveryServer, on bool) { s.slow = on }),
@@ -49,6 +63,7 @@
 	ClientsDisconnect: injectClientsDisconnect,
 	ClientsCancel:     injectClientsCancel,
 	ClientsIdle:       injectClientsIdle,
+	ClientsCrowd:      injectClientsCrowd,
 	MalformedClients:  injectMalformedClients,
 
 	ClockStep: injectClockStep,
@@ -103,6 +118,35 @@
 	}
 }
 
+// signalDelay is the time between two signals of a fault's series.
+func signalDelay(fault Fault) time.Duration { return fault.Duration % signalPause }
+
+// injectReloadsIntoTerminate sends SIGHUPs, then SIGTERM, and SIGHUPs again while the shutdown is under way.
+func injectReloadsIntoTerminate(_ *fleet, fault Fault, d *dispatcher) {
+	for range reloadsInSeries {
+		d.reload()
+		time.Sleep(signalDelay(fault))
+	}
+	var shutdown sync.WaitGroup
+	shutdown.Go(func() { d.terminate(false) })
+	for range reloadsInSeries {
+		time.Sleep(signalDelay(fault))
+		d.reload()
+	}
+	shutdown.Wait()
+}
+
+// injectTerminateTwice sends SIGTERM again while the shutdown is under way.
+func injectTerminateTwice(_ *fleet, fault Fault, d *dispatcher) {
+	var shutdown sync.WaitGroup
+	shutdown.Go(func() { d.terminate(false) })
+	time.Sleep(signalDelay(fault))
+	d.signalIfTerminating(syscall.SIGTERM)
+	time.Sleep(fault.Duration)
+	d.signalIfTerminating(syscall.SIGTERM)
+	shutdown.Wait()
+}
+
 // discoveryFault is a fault that is in force at a dispatcher's discovery for its duration.
 func discoveryFault(set func(s *discoveryServer, on bool)) func(*fleet, Fault, *dispatcher) {
 	return func(_ *fleet, fault Fault, d *dispatcher) {
@@ -187,6 +231,25 @@
 	}
 }
 
+// injectClientsCrowd keeps as many idle clients connected as the dispatcher has descriptors.
+func injectClientsCrowd(f *fleet, fault Fault, d *dispatcher) {
+	d.expectFullDescriptors(fault.Duration + idleClientsSlack)
+	var idle []*clientConn
+	for until := time.Now().Add(fault.Duration); time.Now().Before(until); time.Sleep(crowdInterval) {
+		idle = slices.DeleteFunc(idle, func(c *clientConn) bool { return !c.alive() })
+		for len(idle) < f.plan.Sockets && d.acceptsConnections() {
+			c := d.connect()
+			if c == nil {
+				break
+			}
+			idle = append(idle, c)
+		}
+	}
+	for _, c := range idle {
+		c.disconnect(true)
+	}
+}
+
 // injectMalformedClients has clients send requests and cancel them at once, for a while.
 func injectMalformedClients(f *fleet, fault Fault, d *dispatcher) {
 	random := rand.New(rand.NewPCG(f.plan.Seed, uint64(fault.At)))
--- a/internal/soak/inject_test.go
+++ b/internal/soak/inject_test.go
@@ -4,7 +4,7 @@
 
 // TestEveryFaultHasInjector: each kind that a plan may draw is injected at the target that it is drawn for.
 func TestEveryFaultHasInjector(t *testing.T) {
-	for _, kinds := range [][]FaultKind{dispatcherFaults, processFaults} {
+	for _, kinds := range [][]FaultKind{dispatcherFaults, processFaults, signalSeries, {ClientsCrowd}} {
 		for _, kind := range kinds {
 			if dispatcherInjectors[kind] == nil {
 				t.Errorf("%s: no injector for a dispatcher", kind)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -17,6 +17,7 @@
 	Rate        float64 // requests a second for each dispatcher
 	Budget      bool    // retries are limited by a budget
 	Sockets     int     // descriptors of each dispatcher
+	Crowd       bool    // idle clients fill the descriptors of all dispatchers
 	Faults      []Fault // by their start
 }
 
@@ -24,8 +25,9 @@
 func (p *Plan) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b,
-		"seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %d files, %v\n",
-		p.Seed, p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.Sockets, p.Duration)
+		"seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %d files, "+
+			"crowd %v, %v\n",
+		p.Seed, p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.Sockets, p.Crowd, p.Duration)
 	for _, fault := range p.Faults {
 		fmt.Fprintf(&b, "  %s\n", fault)
 	}
@@ -89,8 +91,18 @@
 	meanOverlapDelay = 250 * time.Millisecond
 )
 
-// planStream keeps the plan's random draws apart from others of the same seed.
-const planStream = 0x50a4
+// planStream and signalStream keep the plan's random draws apart from others of the same seed.
+const (
+	planStream   = 0x50a4
+	signalStream = 0x516e
+)
+
+// Draws of the second stream.
+const (
+	crowdChance              = 0.3                     // of a run with a crowd
+	maxCrowdSockets          = 80                      // descriptors in such a run
+	meanSignalSeriesInterval = 3500 * time.Millisecond // over the fleet
+)
 
 // socketLimits are the descriptors that a dispatcher may have: with few, calls wait for one another.
 var socketLimits = []int{48, 56, 80, 256}
@@ -117,10 +129,33 @@
 		}
 		at += exponential(r, meanFaultInterval)
 	}
+	addSignalSeries(rand.New(rand.NewPCG(o.Seed, signalStream)), p)
 	sort.SliceStable(p.Faults, func(i, j int) bool { return p.Faults[i].At < p.Faults[j].At })
 	return p
 }
 
+// addSignalSeries adds signals in series and, to some plans, a crowd of idle clients.
+func addSignalSeries(r *rand.Rand, p *Plan) {
+	end := p.Duration - quietAtEnd
+	for at := quietAtStart + exponential(r, meanSignalSeriesInterval); at < end; {
+		p.Faults = append(p.Faults, Fault{
+			At:         at,
+			Duration:   minFaultDuration + exponential(r, meanExtraDuration),
+			Kind:       signalSeries[r.IntN(len(signalSeries))],
+			Dispatcher: r.IntN(p.Dispatchers),
+		})
+		at += exponential(r, meanSignalSeriesInterval)
+	}
+	if p.Crowd = r.Float64() < crowdChance; !p.Crowd {
+		return
+	}
+	p.Sockets = min(p.Sockets, maxCrowdSockets)
+	for i := range p.Dispatchers {
+		p.Faults = append(p.Faults,
+			Fault{At: quietAtStart, Duration: end - quietAtStart, Kind: ClientsCrowd, Dispatcher: i})
+	}
+}
+
 // exponential draws an exponentially distributed time.
 func exponential(r *rand.Rand, mean time.Duration) time.Duration {
 	return time.Duration(r.ExpFloat64() * float64(mean))
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -13,14 +13,23 @@
 	readyTimeout      = 10 * time.Second
 	readyPollInterval = 20 * time.Millisecond
 	aliveReplyTimeout = 500 * time.Millisecond
-	acceptAfterTerm   = 300 * time.Millisecond  // new connections are opened so long after SIGTERM
-	requestsAfterTerm = 800 * time.Millisecond  // requests are sent so long after it, into the close
-	exitTimeout       = 3700 * time.Millisecond // after SIGTERM; then the process is killed
-	restartDelay      = 250 * time.Millisecond  // between two processes
+	acceptAfterTerm   = 300 * time.Millisecond // new connections are opened so long after SIGTERM
+	// exitTimeout is when the process is killed after SIGTERM: the earliest time that the platform allows.
+	exitTimeout = longestDeadline + 700*time.Millisecond
+	// requestsAfterTerm is how long after SIGTERM requests are sent on connections that are still open.
+	requestsAfterTerm = exitTimeout
+	restartDelay      = 250 * time.Millisecond // between two processes
 )
 
 // start starts a process and waits until it is ready.
 func (d *dispatcher) start() {
+	if ended := d.begin(); ended != nil {
+		d.awaitReady(ended)
+	}
+}
+
+// begin starts a process; ended is closed when it has exited, nil: it could not be started.
+func (d *dispatcher) begin() (ended <-chan struct{}) {
 	d.mu.Lock()
 	d.incarnation++
 	incarnation := d.incarnation
@@ -28,7 +37,7 @@
 	d.mu.Unlock()
 	if err := d.writeConfiguration(d.discovery.restart(d.endpointList())); err != nil {
 		d.fleet.oracle.addFinding(harnessFailed, "%v", err)
-		return
+		return nil
 	}
 	for _, e := range d.fleet.endpointList() {
 		if e.State == stateDraining {
@@ -38,9 +47,9 @@
 	ended, err := d.launch(incarnation)
 	if err != nil {
 		d.fleet.oracle.addFinding(harnessFailed, "%v", err)
-		return
+		return nil
 	}
-	d.awaitReady(ended)
+	return ended
 }
 
 // launch starts the program and watches for its exit; ended is closed then.
@@ -197,6 +206,50 @@
 		return
 	}
 	defer d.endChange()
+	d.killNow()
+	d.start()
+}
+
+// signalAtStart ends the process by SIGKILL, the next one by a signal that comes so soon after its start, and
+// starts a third.
+func (d *dispatcher) signalAtStart(signal syscall.Signal, after time.Duration) {
+	if !d.beginChange() {
+		return
+	}
+	defer d.endChange()
+	d.killNow()
+	ended := d.begin()
+	if ended == nil {
+		return
+	}
+	time.Sleep(after)
+	d.mu.Lock()
+	process := d.process
+	d.mu.Unlock()
+	sendSignal(process, signal)
+	select {
+	case <-ended:
+	case <-time.After(exitTimeout):
+		d.fleet.oracle.addFinding(invariantNotEnded, "dispatcher %d, %v after %v %v after its start",
+			d.index, exitTimeout, signal, after)
+		sendSignal(process, syscall.SIGKILL)
+		<-ended
+	}
+	time.Sleep(restartDelay)
+	d.start()
+}
+
+// signalIfTerminating sends a signal to a process that was sent SIGTERM.
+func (d *dispatcher) signalIfTerminating(signal syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.changing && !d.terminatedAt.IsZero() {
+		sendSignal(d.process, signal)
+	}
+}
+
+// killNow ends the process by SIGKILL. The caller has begun a change.
+func (d *dispatcher) killNow() {
 	d.mu.Lock()
 	process, ended, incarnation := d.process, d.ended, d.incarnation
 	d.ready = false
@@ -206,7 +259,6 @@
 	d.fleet.oracle.excuseKilled(d.index, incarnation)
 	time.Sleep(restartDelay)
 	d.fleet.oracle.excuseKilled(d.index, incarnation) // also what clients were just sending
-	d.start()
 }
 
 // reload moves the discovery to its other address and has the process read its configuration again.
