Sessions: a query that no engine ran undoes no later setting

Callers: a SET application_name or statement_timeout after a rejected query could be lost with the next Describe.

Cause: the statements of the rejected query stayed with settingTracker, and the Describe's end counted them as not completed.

Evidence: TestRejectedQueryUndoesNoLaterSetting on the code before: application ''. Fix: each query that goes out sets what the tracker waits for, a Describe nothing. After: passes, golden conversations unchanged.

--- a/internal/frontend/pgfrontend/pgsession/description_test.go
+++ b/internal/frontend/pgfrontend/pgsession/description_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"testing"
+
+	"cresspass/internal/backend/enginequery"
 )
 
 // Guards against a description that a session is given of another session's tables.
@@ -22,8 +24,8 @@
 		{"search path a", []event{startup("user", "u", "search_path", "a")}, true},
 		{"search path b", []event{startup("user", "u", "search_path", "b")}, true},
 		{"a temporary table", []event{user, query("create temp table t (n int)"),
-			finish('Q', "CREATE TABLE", 'I', nil, false)}, false},
-		{"a transaction", []event{user, query("begin"), finish('Q', "BEGIN", 'T', nil, false)}, false},
+			finish(enginequery.Simple, "CREATE TABLE", 'I', nil, false)}, false},
+		{"a transaction", []event{user, query("begin"), finish(enginequery.Simple, "BEGIN", 'T', nil, false)}, false},
 	} {
 		s := New(cfg, 7, strings.Repeat("k", 32))
 		before := len(asked)
--- a/internal/frontend/pgfrontend/pgsession/query.go
+++ b/internal/frontend/pgfrontend/pgsession/query.go
@@ -52,12 +52,15 @@
 func (s *Session) submit(q *enginequery.Query) {
 	s.pendingQuery, s.phase = q, phaseBusy
 	q.Sticky = s.Affinity.Bound()
-	q.OutsideTransaction = s.Affinity.Status() == enginequery.StatusIdle
+	status := s.Affinity.Status()
+	q.OutsideTransaction = status == enginequery.StatusIdle
 	q.Settings = s.Affinity.Params.Desired()
+	var statements []sqlscan.Statement // none run where one is only described
 	if q.Kind == enginequery.Simple || q.Kind == enginequery.Execute {
-		s.settings.statementsSent(q.Parsed, s.Affinity.Status())
-		s.Affinity.StatementsSent(q.Parsed)
+		statements = q.Parsed
+		s.Affinity.StatementsSent(statements)
 	}
+	s.settings.statementsSent(statements, status)
 	// A query that makes the session sticky may yet be rejected before an engine saw it; QueryEnded then says
 	// that no connection is held.
 	q.MayBecomeSticky = !q.Sticky && (s.Affinity.Bound() || slices.ContainsFunc(q.Parsed, mayLeaveState))
