Peers' loads: a report that comes twice counts once

Cause: entries of one tag were added up over all messages of the window; only those of one message belong to several engines.

Fix: a later message replaces what an earlier one says of a tag. TestRepeatedReportCountsOnce passes; it was not run on the code before.

--- a/internal/membership/validation/peerloads.go
+++ b/internal/membership/validation/peerloads.go
@@ -24,7 +24,8 @@
 }
 
 // recordLoads keeps the loads of a message by its sender and returns what the sender has reported in this
-// message and those that it was split from. Engines with one tag have an entry each, which add up.
+// message and those that it was split from. Engines with one tag have an entry each in a message, which add
+// up; a later message replaces what an earlier one says of a tag.
 func (v *Validator) recordLoads(
 	peers map[int]*peerLoads, from int, now time.Duration, loads []cresspass.PeerLoad,
 ) *peerLoads {
@@ -36,17 +37,29 @@
 		}
 	}
 	for _, load := range loads {
-		if load.Threads >= cresspass.PeerLoadEjected { // that value calls an engine ejected: it is no load
-			continue
+		if isLoad(load) {
+			p.add(load.Tag, -p.threads[load.Tag], v.engines)
 		}
-		p.threads[load.Tag] += load.Threads
-		if v.engines[load.Tag] != nil {
-			p.knownTotal += load.Threads
+	}
+	for _, load := range loads {
+		if isLoad(load) {
+			p.add(load.Tag, load.Threads, v.engines)
 		}
 	}
 	return p
 }
 
+// isLoad reports whether an entry is a load: the value may call an engine ejected instead.
+func isLoad(load cresspass.PeerLoad) bool { return load.Threads < cresspass.PeerLoadEjected }
+
+// add adds to the threads on the engines with a tag.
+func (p *peerLoads) add(tag uint16, threads float64, known map[uint16]*engineGroup) {
+	p.threads[tag] += threads
+	if known[tag] != nil {
+		p.knownTotal += threads
+	}
+}
+
 // recomputeTotal adds up the loads of the engines known now. Loads are whole numbers, so that the order in
 // which they are added does not matter.
 func (p *peerLoads) recomputeTotal(known map[uint16]*engineGroup) {
--- a/internal/membership/validation/unknown_engines_test.go
+++ b/internal/membership/validation/unknown_engines_test.go
@@ -152,3 +152,16 @@
 		}
 	})
 }
+
+// Guards against a load that counts twice because its report comes twice, as it does where one peer
+// aggregates in two terms in a row.
+func TestRepeatedReportCountsOnce(t *testing.T) {
+	clock, _, _, _ := aggregators(t)
+	v := newTestValidator(4)
+	for range 2 {
+		v.Validate(10*second, clock, 1, memberCount, message(report, 5, 6))
+	}
+	if got := v.reports[1].knownTotal; got != 11 {
+		t.Errorf("11 threads reported twice count as %v", got)
+	}
+}
