TestMembershipOverSockets: the bound of bytes follows the time that the test has taken

In its place: 20,000 bytes and 20,000 a second since before the dispatcher was made: stricter wherever the test is there in under 3 s.

--- a/internal/membership/service_test.go
+++ b/internal/membership/service_test.go
@@ -21,6 +21,9 @@
 // testKey returns a key of 32 equal bytes.
 func testKey(b byte) []byte { return bytes.Repeat([]byte{b}, 32) }
 
+// bytesPerSecond bounds what a dispatcher of these tests sends.
+const bytesPerSecond = 20000
+
 // testFleet starts dispatchers over real sockets and collects the messages that they receive.
 type testFleet struct {
 	t           *testing.T
@@ -49,7 +52,7 @@
 			Name:           name,
 			Incarnation:    f.incarnation,
 			OrdinalClaim:   ordinal.Unassigned,
-			BytesPerSecond: 20000,
+			BytesPerSecond: bytesPerSecond,
 			Validation:     validation.DefaultLimits(1),
 			Ordinals: ordinal.Limits{SettleTime: 200 * time.Millisecond, LossGrace: 500 * time.Millisecond,
 				MinCount: 1},
@@ -98,6 +101,7 @@
 func TestMembershipOverSockets(t *testing.T) {
 	f := &testFleet{t: t, received: map[string][]string{}}
 	keys := [][]byte{testKey(1)}
+	begin := time.Now()
 	first := f.start("a", keys)
 	all := []*Service{first}
 	for _, name := range []string{"b", "c", "d", "e"} {
@@ -135,8 +139,11 @@
 	for range 200 {
 		first.SendMessage(gossip.AllPeers, make([]byte, 255))
 	}
-	if st := first.Stats(); st.PacketsRateLimited == 0 || st.BytesSent > 80000 {
-		t.Errorf("the rate does not hold: %+v", st)
+	// A second's worth may be sent at once, and the rate for as long as the test has taken.
+	st := first.Stats()
+	mostBytes := uint64(bytesPerSecond * (1 + time.Since(begin).Seconds()))
+	if st.PacketsRateLimited == 0 || st.BytesSent > mostBytes {
+		t.Errorf("the rate does not hold, %d bytes at the most: %+v", mostBytes, st)
 	}
 
 	changeKey(t, all[:4]) // the last is left behind
