--- a/internal/frontend/pgfrontend/pgsession/description_test.go
+++ b/internal/frontend/pgfrontend/pgsession/description_test.go
@@ -25,7 +25,8 @@
 		{"search path b", []event{startup("user", "u", "search_path", "b")}, true},
 		{"a temporary table", []event{user, query("create temp table t (n int)"),
 			finish(enginequery.Simple, "CREATE TABLE", 'I', nil, false)}, false},
-		{"a transaction", []event{user, query("begin"), finish(enginequery.Simple, "BEGIN", 'T', nil, false)}, false},
+		{"a transaction", []event{user, query("begin"),
+			finish(enginequery.Simple, "BEGIN", 'T', nil, false)}, false},
 	} {
 		s := New(cfg, 7, strings.Repeat("k", 32))
 		before := len(asked)
