Compute nodes: a numbered page may be a late copy too, of another query's page

Cause: Detector.Suspect let each response with Page-No pass. The number names the page and not the query: a second copy of page 1, more than the reuse delay late, on a connection that a poll took from the pool (hasWaiters: calls wait for descriptors), was taken for page 1 of the next query. Change: numbered pages are compared with what came on the connection before, as all others. The history of a connection holds as many responses as a result has pages; with four, a copy of an early page of a long result was not known again. The line "numbered page ... want false" of TestSuspect stated the fault: the same response is now to be suspected, and the next page, which has another number, is not. Constant pages of an honest node are called twice once each, then known (TestConstantResult).

--- a/internal/backend/duplicateresponse/detector.go
+++ b/internal/backend/duplicateresponse/detector.go
@@ -20,8 +20,8 @@
 	minLongPoll = 200 * time.Millisecond
 	// suspicionPeriod is how long after a duplicate responses that often repeat are suspected as well.
 	suspicionPeriod = 30 * time.Second
-	// historySize is how many responses of a connection are remembered.
-	historySize = 4
+	// historySize is how many responses of a connection are remembered: as many as a result has pages.
+	historySize = 64
 	// maxKnownRepeats bounds the responses that are known to repeat without being duplicates.
 	maxKnownRepeats = 64
 )
@@ -69,9 +69,6 @@
 // Recheck to be given the response there.
 func (d *Detector) Suspect(now, took time.Duration, history *History,
 	resp *nodehttp.Response) (Fingerprint, bool) {
-	if resp.Header[nodehttp.HeaderPageNumber] != "" {
-		return 0, false // it names its page, and is taken for no other
-	}
 	f := d.fingerprint(resp)
 	repeated := history.contains(f)
 	history.add(f)
--- a/internal/backend/duplicateresponse/detector_test.go
+++ b/internal/backend/duplicateresponse/detector_test.go
@@ -1,6 +1,7 @@
 package duplicateresponse
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -22,7 +23,8 @@
 	result := response(200, "a\tb\tc\n", "page-count", "1", "x-meter", "inflight:7")
 	loaded := response(200, "a\tb\tc\n", "page-count", "1", "x-meter", "inflight:8")
 	other := response(200, "a\tb\td\n", "page-count", "1", "x-meter", "inflight:7")
-	numbered, running := response(200, "a", "page-no", "1"), response(202, "")
+	numbered, next := response(200, "a", "page-no", "1"), response(200, "a", "page-no", "2")
+	running := response(202, "")
 	progress, rejected := response(202, "", "x-remark", "frac"), response(503, "", "x-shed", "1")
 	deleted, failed := response(204, ""), response(500, "")
 	for name, c := range map[string]struct {
@@ -34,7 +36,8 @@
 		"result":                    {result, result, quick, false, true},
 		"another load":              {result, loaded, quick, false, false},
 		"another result":            {result, other, quick, false, false},
-		"numbered page":             {numbered, numbered, quick, true, false},
+		"numbered page":             {numbered, numbered, quick, false, true},
+		"next page":                 {numbered, next, quick, true, false},
 		"running, in time":          {running, running, slow, false, false},
 		"running, too soon":         {running, running, quick, false, true},
 		"progress, at once":         {progress, progress, quick, true, false},
@@ -75,6 +78,19 @@
 	if suspected != 1 {
 		t.Errorf("a constant result was suspected %d times, want once", suspected)
 	}
+	suspected = 0
+	for range 20 {
+		for _, page := range []string{"1", "2", "3"} {
+			numbered := response(200, "", "page-no", page)
+			if f, suspect := d.Suspect(0, 0, m, numbered); suspect {
+				suspected++
+				d.Recheck(0, f, numbered)
+			}
+		}
+	}
+	if suspected != 3 {
+		t.Errorf("three constant pages were suspected %d times, want once each", suspected)
+	}
 	d.Suspect(0, 0, m, rejected)
 	if _, suspect := d.Suspect(0, 0, m, rejected); suspect {
 		t.Error("a rejection is suspected, and no duplicate was seen")
@@ -87,3 +103,17 @@
 		t.Error("a rejection is suspected long after a duplicate")
 	}
 }
+
+// TestCopyAfterLongResult: a copy of a result's first page is suspected also after all its other pages.
+func TestCopyAfterLongResult(t *testing.T) {
+	const pages = 64
+	d, m := NewDetector(), &History{}
+	first := response(200, "a", "page-count", strconv.Itoa(pages))
+	d.Suspect(0, 0, m, first)
+	for page := 1; page < pages; page++ {
+		d.Suspect(0, 0, m, response(200, "a", "page-no", strconv.Itoa(page)))
+	}
+	if _, suspect := d.Suspect(time.Second, 0, m, first); !suspect {
+		t.Error("the copy is not suspected")
+	}
+}
