--- /dev/null
+++ b/internal/platform/overflow_test.go
@@ -0,0 +1,69 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"cresspass/internal/protocol/thrift"
+)
+
+// holdAccepts has the dispatcher that a test starts accept nothing until the function it returns is called, as
+// a process that does not run.
+func holdAccepts(t *testing.T) (release func()) {
+	gate := make(chan struct{})
+	withSystem(t, func(s *system) {
+		accept := s.accept
+		s.accept = func(listener *net.TCPListener) (*net.TCPConn, error) {
+			<-gate
+			return accept(listener)
+		}
+	})
+	return func() { close(gate) }
+}
+
+// runForEver has all queries run until they are cancelled.
+func (n *fakeNode) runForEver() {
+	n.setHandler(func(w http.ResponseWriter, _ *http.Request, call, _ string) bool {
+		if call != "DELETE" {
+			w.WriteHeader(http.StatusAccepted)
+		}
+		return call != "DELETE"
+	})
+}
+
+// TestRequestsBeyondCapacity guards against lost requests: connections that were accepted over a request were
+// closed without an answer where clients held all descriptors.
+func TestRequestsBeyondCapacity(t *testing.T) {
+	const clients, sockets = 60, 48
+	release := holdAccepts(t)
+	h := newHarness(t, sockets)
+	h.node.runForEver()
+	var waiting []*testClient
+	for n := range clients {
+		client := h.dial()
+		client.send(requestFields(ticket(n+1), "quick", "1500"))
+		waiting = append(waiting, client)
+	}
+	check := h.dial()
+	check.conn.Write(thrift.Alive{}.Append(nil, 1))
+	slow := h.dial()
+	call := thrift.Dispatch{Fields: requestFields(ticket(clients+1), "quick", "1500"), Body: []byte("SELECT 1")}
+	message := call.Append(nil, 1)
+	slow.conn.Write(message[:len(message)/2])
+	release()
+	time.Sleep(100 * time.Millisecond)
+	slow.conn.Write(message[len(message)/2:])
+	for n, client := range waiting {
+		if got := client.receive(); got.kind != "shed" && got.kind != "fault" {
+			t.Errorf("request %d: %+v", n+1, got)
+		}
+	}
+	if got := slow.receive(); got.kind != "shed" && got.kind != "fault" {
+		t.Errorf("the request in two halves: %+v", got)
+	}
+	if got := check.receive(); got.kind != "answer" {
+		t.Errorf("the health check: %+v", got)
+	}
+}
