Client connections: none is closed over a message that was read and not handled yet

Callers lost a request, with an alive check or a pipelined message before it: their connection was evicted for another one, or retired at shutdown. Cause: both looks (evictLocked, retireUnusedLocked) see the socket alone. A message that the reader has taken out of the socket and not handled (frontend.mu is busy, the core is full) was seen by nobody: without patience (noGrace) a connection in the middle of a message is a candidate, and one whose second message came in the segment of the first was in no message at all. Change: a reader that needs more bytes waits until they are in the socket, says so under the lock, and only then reads them; holdsInput is true while it may have a message. So the two looks see each byte, in the socket or with the reader.

--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"os"
@@ -64,11 +63,8 @@
 
 // accepted serves a new connection, or closes it where there is no capacity for it.
 func (f *frontend) accepted(conn *net.TCPConn, queue *acceptQueue) {
-	client := &clientConn{frontend: f, conn: conn}
-	client.reader = bufio.NewReaderSize(&deadlineReader{conn: conn, hasUnread: client.hasUnread,
-		setTimeout: client.setReadTimeout}, requestBufferBytes)
-	var err error
-	if client.raw, err = conn.SyscallConn(); err != nil {
+	client, err := newClientConn(f, conn)
+	if err != nil {
 		conn.Close()
 		return
 	}
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -75,6 +75,10 @@
 	// For serve's goroutine only.
 	readDelay time.Duration // what is read now may have been in the socket for so long
 	emptyAt   time.Duration // the socket was last seen empty then
+	readable  bool          // something was seen in the socket since it was last read
+
+	// holdsInput: bytes that were read may hold a message that was not handled yet. Guarded by frontend.mu.
+	holdsInput bool
 
 	mu              sync.Mutex // guards the fields below, and the read deadline against closing
 	pending         []byte     // output that nobody writes yet
@@ -83,6 +87,18 @@
 	closing         bool       // to be half-closed once the output is written; input is discarded
 }
 
+// newClientConn returns a connection that is not registered. The error is that of a closed socket.
+func newClientConn(f *frontend, conn *net.TCPConn) (*clientConn, error) {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	c := &clientConn{frontend: f, conn: conn, raw: raw}
+	socket := &deadlineReader{conn: conn, hasUnread: c.hasUnread, setTimeout: c.setReadTimeout}
+	c.reader = bufio.NewReaderSize(&inputReader{client: c, socket: socket}, requestBufferBytes)
+	return c, nil
+}
+
 // serve takes the client's messages until its connection ends.
 func (c *clientConn) serve() {
 	defer c.cleanUp()
@@ -132,6 +148,7 @@
 func (c *clientConn) beginMessage() bool {
 	c.frontend.mu.Lock()
 	defer c.frontend.mu.Unlock()
+	c.holdsInput = true
 	return c.frontend.registry.BeginMessage(time.Now(), c.id)
 }
 
@@ -144,6 +161,7 @@
 	c.readDelay = max(c.readDelay, service.stalls.maxWait(c.emptyAt))
 	verdict := c.frontend.registry.HandleMessage(time.Now().Add(-c.readDelay), c.id, message)
 	verdict.Event.RemainingDeadline -= c.readDelay
+	c.holdsInput = c.reader.Buffered() > 0
 	if mutantEnabled(mutantNoOrderingKey) {
 		verdict.Event.Key = ""
 	}
--- a/internal/platform/clientread.go
+++ b/internal/platform/clientread.go
@@ -56,6 +56,13 @@
 	if c.reader.Buffered() > 0 {
 		return nil
 	}
+	err := c.waitSocket()
+	c.readable = err == nil
+	return err
+}
+
+// waitSocket is waitReadable without the reader's buffer.
+func (c *clientConn) waitSocket() error {
 	for {
 		var n int
 		var peekErr error
@@ -80,6 +87,37 @@
 	}
 }
 
+// inputReader reads the socket for a client's reader, which reads on only where it has no complete message.
+type inputReader struct {
+	client *clientConn
+	socket *deadlineReader
+}
+
+// Read waits until something is in the socket before it takes bytes out of it: whoever looks at the connection
+// meanwhile finds a message in the socket or, by holdsInput, with its reader. Otherwise a message that was read
+// and not handled yet would be lost with a connection that is closed as unused.
+func (r *inputReader) Read(b []byte) (int, error) {
+	if !r.client.readable {
+		r.client.setHoldsInput(false)
+		_ = r.client.waitSocket() // what ends it, the read below meets again
+		r.client.setHoldsInput(true)
+	}
+	r.client.readable = false
+	return r.socket.Read(b)
+}
+
+func (c *clientConn) setHoldsInput(holds bool) {
+	c.frontend.mu.Lock()
+	defer c.frontend.mu.Unlock()
+	c.holdsInput = holds
+}
+
+// mayHoldMessage reports whether a message may be there that was not handled yet: in the socket, or read.
+// frontend.mu is held.
+func (c *clientConn) mayHoldMessage() bool {
+	return c.holdsInput && !mutantEnabled(mutantNoUnreadCheck) || c.hasUnread()
+}
+
 // peekResult is what a look at a socket shows.
 type peekResult int
 
--- a/internal/platform/eviction.go
+++ b/internal/platform/eviction.go
@@ -34,7 +34,7 @@
 			return false
 		}
 		client := f.conns[id]
-		if client.hasUnread() { // a message is there that the reader has not read yet
+		if client.mayHoldMessage() {
 			f.registry.BeginMessage(time.Now(), id)
 			continue
 		}
@@ -63,7 +63,7 @@
 func (f *frontend) retireUnusedLocked() {
 	for _, id := range f.registry.UnusedConns() {
 		client := f.conns[id]
-		if client.hasUnread() || !f.registry.Retire(id) {
+		if client.mayHoldMessage() || !f.registry.Retire(id) {
 			continue
 		}
 		if f.service.guard.mayClose(f.registry.OpenRequestsOn(id), closedUnusedAtShutdown) {
--- /dev/null
+++ b/internal/platform/eviction_test.go
@@ -0,0 +1,81 @@
+package platform
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"cresspass/internal/protocol/thrift"
+)
+
+// requestMessage is a request as a client writes it.
+func requestMessage(n int, seq int32) []byte {
+	call := thrift.Dispatch{Fields: requestFields(ticket(n), "quick", "2000"), Body: []byte("SELECT 1")}
+	return call.Append(nil, seq)
+}
+
+// TestEvictionOfReadMessage guards against a lost request: a connection was evicted for another one although
+// its reader had read a whole message, and had not handled it yet.
+func TestEvictionOfReadMessage(t *testing.T) {
+	h := newHarness(t, 256)
+	client := h.dial()
+	message := requestMessage(1, 1)
+	client.conn.Write(message[:len(message)/2])
+	eventually(t, "the message has begun", func() bool {
+		h.frontend.mu.Lock()
+		defer h.frontend.mu.Unlock()
+		return len(h.frontend.conns) == 1 && h.frontend.registry.MidMessage(h.onlyConn().id)
+	})
+	h.frontend.mu.Lock() // its reader can't handle what it has read
+	client.conn.Write(message[len(message)/2:])
+	time.Sleep(50 * time.Millisecond)
+	evicted := h.frontend.evictLocked(noGrace)
+	h.frontend.mu.Unlock()
+	if evicted {
+		t.Error("it was evicted")
+	}
+	if got := client.receive(); got.kind != "answer" {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestClosesSpareBufferedMessage guards against a lost request: a connection was retired or evicted although
+// its reader held a second message, which came in one segment with the first.
+func TestClosesSpareBufferedMessage(t *testing.T) {
+	h := newHarness(t, 256)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := newClientConn(h.frontend, accepted.(*net.TCPConn))
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.frontend.register(client)
+	defer client.cleanUp()
+	peer.Write(append(thrift.Alive{}.Append(nil, 1), requestMessage(1, 2)...))
+	if err := client.waitReadable(); err != nil || !client.beginMessage() {
+		t.Fatal("nothing came", err)
+	}
+	frame, err := client.readFrame(nil)
+	if err != nil || !client.handleMessage(frame) || client.reader.Buffered() == 0 {
+		t.Fatal("the second message was not read with the first", err)
+	}
+	h.frontend.retireUnused()
+	if h.frontend.evict(noGrace) {
+		t.Error("it was evicted")
+	}
+	if !client.beginMessage() {
+		t.Error("the second message is not taken any more")
+	}
+}
