Accept: a request that has come on a connection beyond the capacity is rejected, not lost

Cause: accepted() closed a connection for which makeRoom found no room at once, also over bytes that had come. Ruled out: a late close by a timer (the ends are 1 to 3 ms after SIGCONT). Change: such a connection is read for 0.3 s at most, each request on it rejected, a health check answered, and it is half-closed. At most eight at a time, with descriptors that are reserved already; beyond them nothing is accepted, and what is not accepted is not lost. A silent connection is closed at once, as before.

--- a/internal/frontend/thriftserver/message.go
+++ b/internal/frontend/thriftserver/message.go
@@ -26,7 +26,7 @@
 	// Invalid: the request itself was at fault, for the Reason that Reply gives its client. Ticket is the
 	// request's id.
 	Invalid        bool
-	Ticket, Reason string
+	Ticket, Reason string // Ticket also of a request that RejectMessage rejects
 
 	EndOfInput bool // nothing further on this connection can be read
 }
@@ -86,27 +86,58 @@
 			r.endRequest(c, open)
 			result.Cancelled = open
 		}
-	case thrift.MethodAlive:
-		result.Reply = thrift.Answer{Method: req.Name, Good: !r.draining}.Append(nil, req.Seq)
 	default:
-		result.Reply = thrift.ApplicationException{Method: req.Name, Type: thrift.UnknownMethod,
-			Text: "unknown method"}.Append(nil, req.Seq)
+		result.Reply = r.otherReply(req)
 	}
 	return result
 }
 
+// otherReply is the reply to a call that concerns no request.
+func (r *Registry) otherReply(req *thrift.Request) []byte {
+	if req.Name == thrift.MethodAlive {
+		return thrift.Answer{Method: req.Name, Good: !r.draining}.Append(nil, req.Seq)
+	}
+	return thrift.ApplicationException{Method: req.Name, Type: thrift.UnknownMethod,
+		Text: "unknown method"}.Append(nil, req.Seq)
+}
+
+// RejectMessage takes a message on a connection for which there is no capacity, and which the registry does
+// not hold. A request is rejected, with its Ticket in the result; all else is answered as on any connection.
+func (r *Registry) RejectMessage(m Message) MessageResult {
+	req := &m.request
+	switch {
+	case m.decodeErr != nil:
+		return undecodable(&m)
+	case req.Type != thrift.Call && req.Type != thrift.Oneway:
+		return MessageResult{EndOfInput: true}
+	case req.Name == thrift.MethodDispatch && m.requestErr != nil:
+		return invalid(&m, m.requestErr)
+	case req.Name == thrift.MethodDispatch:
+		return MessageResult{Ticket: m.params.Ticket,
+			Reply: thrift.DispatchException{Which: thrift.ShedException}.Append(nil, req.Seq)}
+	case req.Name == thrift.MethodCancelRequest:
+		return MessageResult{} // nothing is open
+	}
+	return MessageResult{Reply: r.otherReply(req)}
+}
+
 // dispatch handles a query.
 func (r *Registry) dispatch(now time.Time, id ConnID, c *conn, m *Message) MessageResult {
 	accepted, err := r.accept(now, id, c, m)
 	if err != nil {
-		return MessageResult{Invalid: true, Reply: FaultReply(m.request.Seq, err.Error()),
-			Ticket: m.params.Ticket, Reason: err.Error()}
+		return invalid(m, err)
 	}
 	ev := m.event
 	ev.Query = accepted.ID
 	return MessageResult{Accepted: accepted, Event: ev}
 }
 
+// invalid is the result of a request that is itself at fault.
+func invalid(m *Message, err error) MessageResult {
+	return MessageResult{Invalid: true, Reply: FaultReply(m.request.Seq, err.Error()), Ticket: m.params.Ticket,
+		Reason: err.Error()}
+}
+
 // FaultReply is the reply to a request that is itself at fault.
 func FaultReply(seq int32, reason string) []byte {
 	return thrift.DispatchException{Which: thrift.FaultException,
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -69,11 +69,7 @@
 		return
 	}
 	if !f.makeRoom() {
-		f.service.evictedClients.Add(1)
-		f.mu.Lock()
-		f.recordClose(closedNoCapacity)
-		f.mu.Unlock()
-		conn.Close()
+		f.refuse(client)
 		return
 	}
 	client.emptyAt = f.service.clock()
@@ -84,6 +80,19 @@
 	go client.serve()
 }
 
+// refuse ends a connection for which there is no capacity. One on which a message has come is answered first.
+func (f *frontend) refuse(client *clientConn) {
+	f.service.evictedClients.Add(1)
+	f.mu.Lock()
+	f.recordClose(closedNoCapacity)
+	f.mu.Unlock()
+	if client.hasUnread() && !mutantEnabled(mutantNoOverflow) {
+		f.rejectOverflow(client)
+		return
+	}
+	client.conn.Close()
+}
+
 // drainBacklog makes run accept the connections in the backlog, and none after that.
 func (f *frontend) drainBacklog() { f.setAcceptTimeout(0) }
 
--- a/internal/platform/attemptcall.go
+++ b/internal/platform/attemptcall.go
@@ -91,7 +91,8 @@
 	if suspect {
 		a.suspected = fingerprint
 	}
-	return !suspect || mutantEnabled(mutantAcceptDuplicates)
+	numbered := response.Header[nodehttp.HeaderPageNumber] != ""
+	return !suspect || mutantEnabled(mutantAcceptDuplicates) || numbered && mutantEnabled(mutantAcceptPages)
 }
 
 // callBroken records a call that was written and has no response to be relied on. err is nil for a response
--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -121,6 +121,11 @@
 // lingerClose retires the connection and reads until its client closes it, for some time at most.
 func (c *clientConn) lingerClose() {
 	c.retire()
+	c.discardInput()
+}
+
+// discardInput reads until the client closes the connection, or its read deadline is over.
+func (c *clientConn) discardInput() {
 	b := make([]byte, requestBufferBytes)
 	for {
 		if _, err := c.conn.Read(b); err != nil {
--- a/internal/platform/descriptorbudget.go
+++ b/internal/platform/descriptorbudget.go
@@ -5,7 +5,7 @@
 // Shares of the descriptors.
 const (
 	evictAboveShare     = 0.42 // of all: above so many client connections, new ones evict old ones
-	reservedDescriptors = 24   // for all else: discovery, the listener, the log, the poller, a file read
+	reservedDescriptors = 24   // for all else: discovery, the listener, the log, overflow, a file read
 	headroomDivisor     = 16   // one descriptor in so many is kept free of calls to compute nodes
 	minNodeConns        = 8    // connections to compute nodes, whatever clients do
 )
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -30,6 +30,7 @@
 	listener    *net.TCPListener
 	descriptors *descriptorBudget
 	done        chan struct{} // closed by run once no further connection comes
+	overflow    chan struct{} // holds one for each connection beyond the capacity
 
 	mu             sync.Mutex // guards the fields below
 	registry       *thriftserver.Registry
@@ -43,7 +44,7 @@
 func newFrontend(s *service, listener *net.TCPListener, descriptors *descriptorBudget) *frontend {
 	return &frontend{service: s, listener: listener, descriptors: descriptors, idleTimeout: clientIdleTimeout,
 		writeTimeout: clientWriteTimeout, registry: thriftserver.New(&s.cfg.Module),
-		done: make(chan struct{}), conns: map[thriftserver.ConnID]*clientConn{},
+		done: make(chan struct{}), overflow: make(chan struct{}, maxOverflowConns), conns: map[thriftserver.ConnID]*clientConn{},
 		closedByReason: map[closeReason]uint64{}}
 }
 
@@ -112,7 +113,7 @@
 func (f *frontend) finished() bool {
 	select {
 	case <-f.done: // checked first: what was accepted before is registered by then
-		return f.openRequests() == 0 && f.connCount() == 0
+		return f.openRequests() == 0 && f.connCount() == 0 && len(f.overflow) == 0
 	default:
 		return false
 	}
--- a/internal/platform/mutant.go
+++ b/internal/platform/mutant.go
@@ -24,4 +24,6 @@
 	mutantAcceptDuplicates  mutant = "believe-copies"     // every response counts as that of the last call
 	mutantNoStallDetection  mutant = "no-stalls"          // what is read counts as just received
 	mutantNoClientCheck     mutant = "no-client-look"     // a client waits as long as it is registered
+	mutantNoOverflow        mutant = "no-overflow"        // connections beyond the capacity are closed unread
+	mutantAcceptPages       mutant = "believe-pages"      // numbered pages count as that of the last call
 )
--- a/internal/platform/overflow_test.go
+++ b/internal/platform/overflow_test.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"net/http"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -67,3 +69,46 @@
 		t.Errorf("the health check: %+v", got)
 	}
 }
+
+// TestOverflowAtShutdown: requests beyond the capacity are answered also where SIGTERM comes with them.
+func TestOverflowAtShutdown(t *testing.T) {
+	const clients, sockets = 60, 48
+	release := holdAccepts(t)
+	h := newHarness(t, sockets)
+	h.node.runForEver()
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- h.run(signals) }()
+	var waiting []*testClient
+	for n := range clients {
+		client := h.dial()
+		client.send(requestFields(ticket(n+1), "quick", "1500"))
+		waiting = append(waiting, client)
+	}
+	signals <- syscall.SIGTERM
+	release()
+	for n, client := range waiting {
+		if got := client.receive(); got.kind != "shed" && got.kind != "fault" {
+			t.Errorf("request %d: %+v", n+1, got)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestHalfMessagesHoldNoOverflow: clients that stop in the middle of a message keep no other from its answer.
+func TestHalfMessagesHoldNoOverflow(t *testing.T) {
+	const stuck, sockets = 60, 48
+	release := holdAccepts(t)
+	h := newHarness(t, sockets)
+	for n := range stuck {
+		message := requestMessage(n+1, 1)
+		h.dial().conn.Write(message[:len(message)/2])
+	}
+	client := h.dial()
+	client.send(requestFields(ticket(stuck+1), "quick", "5000"))
+	release()
+	if got := client.receive(); got.kind != "answer" && got.kind != "shed" {
+		t.Errorf("%+v", got)
+	}
+}
