Compute nodes: a late copy of a failure ends no query that must not run twice

Callers could have an effect twice: a second copy of a rejection, more than the reuse delay late, on a connection that was used again, was taken for the answer to the next query's start. That query ran, counted as one that never ran (503, 504) or had ended (500), and went again, or the next of its key went beside it. Copies of failures were suspected only within 30 s of one that was seen. Change: a connection on which a failure came is used for idempotent queries without a key alone; any other gets another connection. Such a query then costs a handshake where it meets one; suspecting each failure would cost two calls and tell clients 'failed' for 'refused'.

--- a/internal/platform/attemptcall.go
+++ b/internal/platform/attemptcall.go
@@ -27,6 +27,12 @@
 				return computenode.Event{Type: a.classifyDialError(err)}, nil
 			}
 		}
+		if a.exclusive && conn.failureSeen && !mutantEnabled(mutantAcceptFailures) {
+			// A late copy of that failure would end this query's attempt while it runs, and it could run twice.
+			a.service.pool.put(conn, true)
+			conn, wanted.fresh = nil, true
+			continue
+		}
 		if step.Type != computenode.Delete && !a.attach(conn) {
 			return computenode.Event{Type: computenode.Unreachable}, conn
 		}
--- a/internal/platform/latecopy_test.go
+++ b/internal/platform/latecopy_test.go
@@ -63,3 +63,34 @@
 		t.Errorf("%d of %d queries served", served, rounds*queries)
 	}
 }
+
+// TestLateCopyOfRejection guards against an effect twice: a late copy of a rejection or an error was taken for
+// the answer to the next query, which ran, and counted as one that had not run or had ended.
+func TestLateCopyOfRejection(t *testing.T) {
+	const rejectionForgotten = 1500 * time.Millisecond // by then the compute node gets queries again
+	for name, response := range map[string]string{
+		"rejection": "HTTP/1.1 503 Full\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n",
+		"late":      "HTTP/1.1 504 Late\r\nX-Shed: 1\r\nContent-Length: 0\r\n\r\n",
+		"error":     "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarnessWith(t, 256, `"max-attempts":6`, `"max-attempts":1`)
+			h.node.setHandler(func(w http.ResponseWriter, _ *http.Request, call, id string) bool {
+				if id == ticket(1) {
+					copyOnNextCall(w, response)
+				}
+				return id == ticket(1)
+			})
+			client := h.dial()
+			client.send(requestFields(ticket(1), "quick", "2000"))
+			if got := client.receive(); got.kind == "answer" {
+				t.Fatalf("%+v", got)
+			}
+			time.Sleep(rejectionForgotten)
+			client.send(requestFields(ticket(2), "load", "2000", "unique", strings.Repeat("ab", 16)))
+			if got := client.receive(); got.kind != "answer" {
+				t.Errorf("a query that ran: %+v", got)
+			}
+		})
+	}
+}
--- a/internal/platform/mutant.go
+++ b/internal/platform/mutant.go
@@ -26,4 +26,5 @@
 	mutantNoClientCheck     mutant = "no-client-look"     // a client waits as long as it is registered
 	mutantNoOverflow        mutant = "no-overflow"        // connections beyond the capacity are closed unread
 	mutantAcceptPages       mutant = "believe-pages"      // numbered pages count as that of the last call
+	mutantAcceptFailures    mutant = "believe-failures"   // any query may use a connection after a failure
 )
--- a/internal/platform/nodeconn.go
+++ b/internal/platform/nodeconn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
@@ -33,6 +34,7 @@
 	writeBuffer      []byte
 	awaitingResponse bool // a call was written and has no complete response
 	recentResponses  duplicateresponse.History
+	failureSeen      bool // a rejection or an error came on it: a late copy of that may follow
 
 	mu          sync.Mutex // guards interrupted, and the deadline against it
 	interrupted bool
@@ -116,6 +118,7 @@
 	response, err := nodehttp.ReadResponse(c.reader)
 	c.awaitingResponse = err != nil
 	c.idleSince = time.Now()
+	c.failureSeen = c.failureSeen || err == nil && response.Status >= http.StatusBadRequest
 	return response, err
 }
 
