Compute nodes: a result that is known to repeat is suspected while duplicates come

A client could get a result that is not its own: an empty or constant result was suspected once, found to be what its compute node repeats, and never again. A late copy of it on a connection that is used again then answered a query whose own rows are others. Change: within 30 s of a duplicate such a result is called again on a new connection, as one that is not known. A repeat is remembered once. Evidence: TestConstantResultAfterDuplicate fails on the code before, passes now; without duplicates a constant result still costs one second call in all (TestConstantResult). What is left: the first duplicate in 30 s, where it is a copy of a known repeat.

--- a/internal/backend/duplicateresponse/detector.go
+++ b/internal/backend/duplicateresponse/detector.go
@@ -72,20 +72,27 @@
 	f := d.fingerprint(resp)
 	repeated := history.contains(f)
 	history.add(f)
-	if !repeated || slices.Contains(d.knownRepeats, f) {
-		return f, false
-	}
-	switch resp.Status {
-	case http.StatusOK:
-		return f, true
-	case http.StatusAccepted:
-		return f, took < minLongPoll && resp.Header[nodehttp.HeaderProgressKind] == ""
-	case http.StatusNoContent:
-		return f, false // what it says of another call is true of this one within moments
+	return f, repeated && d.suspectRepeat(now, took, f, resp)
+}
+
+// suspectRepeat reports whether a response is suspected that came on its connection before.
+func (d *Detector) suspectRepeat(now, took time.Duration, f Fingerprint, resp *nodehttp.Response) bool {
+	duplicateRecent := d.duplicateSeen && now-d.lastDuplicateAt < suspicionPeriod
+	known := slices.Contains(d.knownRepeats, f)
+	switch {
+	case resp.Status == http.StatusOK:
+		// While duplicates come, a result that is known to repeat may be one too, and the query's own rows others.
+		return !known || duplicateRecent
+	case known:
+		return false
+	case resp.Status == http.StatusAccepted:
+		return took < minLongPoll && resp.Header[nodehttp.HeaderProgressKind] == ""
+	case resp.Status == http.StatusNoContent:
+		return false // what it says of another call is true of this one within moments
 	}
 	// Rejections and errors are mostly alike. If they were suspected each time, a query that could go to
 	// another compute node would pay for a second call.
-	return f, d.duplicateSeen && now-d.lastDuplicateAt < suspicionPeriod
+	return duplicateRecent
 }
 
 // Recheck takes in the response that a new connection gave to a call whose first response was suspected.
@@ -95,6 +102,9 @@
 		return
 	}
 	// The compute node repeats itself: the response was no duplicate.
+	if slices.Contains(d.knownRepeats, suspected) {
+		return
+	}
 	if len(d.knownRepeats) == maxKnownRepeats {
 		d.knownRepeats = slices.Delete(d.knownRepeats, 0, 1)
 	}
--- a/internal/backend/duplicateresponse/detector_test.go
+++ b/internal/backend/duplicateresponse/detector_test.go
@@ -104,6 +104,34 @@
 	}
 }
 
+// TestConstantResultAfterDuplicate guards against a result that was another's: a result that a compute node
+// is known to repeat was never suspected again, so that a copy of it could answer a query with other rows.
+func TestConstantResultAfterDuplicate(t *testing.T) {
+	d, m := NewDetector(), &History{}
+	empty := response(200, "", "page-count", "0")
+	suspect := func(now time.Duration) bool {
+		f, suspected := d.Suspect(now, 0, m, empty)
+		if suspected {
+			d.Recheck(now, f, empty) // the compute node repeats itself
+		}
+		return suspected
+	}
+	suspect(0)
+	if !suspect(0) || suspect(0) {
+		t.Error("before any duplicate it is to be suspected once")
+	}
+	d.RecordDuplicate(time.Second)
+	if !suspect(2*time.Second) || !suspect(3*time.Second) {
+		t.Error("it is not suspected after a duplicate")
+	}
+	if suspect(time.Second + suspicionPeriod) {
+		t.Error("it is suspected long after a duplicate")
+	}
+	if n := len(d.knownRepeats); n != 1 {
+		t.Errorf("it is remembered %d times", n)
+	}
+}
+
 // TestCopyAfterLongResult: a copy of a result's first page is suspected also after all its other pages.
 func TestCopyAfterLongResult(t *testing.T) {
 	const pages = 64
