Accept: the pause after a failed accept begins at a millisecond and doubles

Cause: each accept that failed by our own machine paused all accepting for 10 ms. Where four of ten fail and clients come at 400 a second the backlog grows, and what has little time waits in it. Change: 1 ms, doubled with each failure in a row up to 16 ms.

--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	acceptBackoff        = 10 * time.Millisecond // after an accept that failed by our own machine...
-	maxAcceptErrors      = 16                    // ...or after more than so many in a row, whatever they are
+	minAcceptBackoff     = time.Millisecond      // after an accept that failed by our own machine, doubled...
+	maxAcceptBackoff     = 16 * time.Millisecond // ...with each in a row, up to this
+	maxAcceptErrors      = 16                    // in a row, whatever they are, after which there is a pause too
 	acceptBlockedAfter   = time.Millisecond      // an accept that took longer waited for its connection
 	backlogPollTimeout   = 2 * time.Millisecond  // of an accept while the backlog is drained...
 	maxEmptyBacklogPolls = 3                     // ...which ends after more than so many in vain
@@ -57,10 +58,16 @@
 		f.evict(silentClientGrace)
 	}
 	if !oserr.IsPerConnection(err) || inRow > maxAcceptErrors {
-		time.Sleep(acceptBackoff)
+		time.Sleep(acceptBackoff(inRow))
 	}
 }
 
+// acceptBackoff is the pause after so many accepts in a row that failed. A long one after each would keep the
+// whole backlog waiting where some accepts fail and others don't.
+func acceptBackoff(inRow int) time.Duration {
+	return min(minAcceptBackoff<<min(inRow-1, maxAcceptErrors), maxAcceptBackoff)
+}
+
 // accepted serves a new connection, or closes it where there is no capacity for it.
 func (f *frontend) accepted(conn *net.TCPConn, queue *acceptQueue) {
 	client, err := newClientConn(f, conn)
