Shutdown: requests that came while the process did not run are answered before it ends

Cause: the failing of what is open (3.5 s) and the end (3.6 s) were counted from SIGTERM; after a pause over both, the end could be taken first, and the failing closed connections over what lay unread. Change: the end is counted from the failing. The failing has all that still comes rejected, and leaves connections on which something is there to be read, answered and then retired.

--- a/internal/frontend/thriftserver/conn.go
+++ b/internal/frontend/thriftserver/conn.go
@@ -59,9 +59,24 @@
 // EndMalformed ends a connection whose bytes can't be read: all that is open on it is to be replied to with
 // FaultReply, and given up. The connection stays until RemoveConn.
 func (r *Registry) EndMalformed(id ConnID) (open []*Request) {
+	r.Close(id)
+	return r.EndOpen(id)
+}
+
+// Close has nothing further accepted on a connection, whatever is open on it. It returns false where there is
+// none.
+func (r *Registry) Close(id ConnID) bool {
+	c := r.conns[id]
+	if c != nil {
+		c.closing = true
+	}
+	return c != nil
+}
+
+// EndOpen ends what is open on a connection, which goes on: all of it is to be replied to.
+func (r *Registry) EndOpen(id ConnID) (open []*Request) {
 	if c := r.conns[id]; c != nil {
 		open = r.endRequests(c)
-		c.closing = true
 		c.unwritten += len(open)
 	}
 	return open
--- a/internal/frontend/thriftserver/message.go
+++ b/internal/frontend/thriftserver/message.go
@@ -26,7 +26,9 @@
 	// Invalid: the request itself was at fault, for the Reason that Reply gives its client. Ticket is the
 	// request's id.
 	Invalid        bool
-	Ticket, Reason string // Ticket also of a request that RejectMessage rejects
+	Ticket, Reason string
+
+	Rejected bool // the request of that Ticket was rejected
 
 	EndOfInput bool // nothing further on this connection can be read
 }
@@ -102,7 +104,7 @@
 }
 
 // RejectMessage takes a message on a connection for which there is no capacity, and which the registry does
-// not hold. A request is rejected, with its Ticket in the result; all else is answered as on any connection.
+// not hold. A request is rejected; all else is answered as on any connection.
 func (r *Registry) RejectMessage(m Message) MessageResult {
 	req := &m.request
 	switch {
@@ -110,11 +112,8 @@
 		return undecodable(&m)
 	case req.Type != thrift.Call && req.Type != thrift.Oneway:
 		return MessageResult{EndOfInput: true}
-	case req.Name == thrift.MethodDispatch && m.requestErr != nil:
-		return invalid(&m, m.requestErr)
 	case req.Name == thrift.MethodDispatch:
-		return MessageResult{Ticket: m.params.Ticket,
-			Reply: thrift.DispatchException{Which: thrift.ShedException}.Append(nil, req.Seq)}
+		return r.reject(&m)
 	case req.Name == thrift.MethodCancelRequest:
 		return MessageResult{} // nothing is open
 	}
@@ -123,6 +122,9 @@
 
 // dispatch handles a query.
 func (r *Registry) dispatch(now time.Time, id ConnID, c *conn, m *Message) MessageResult {
+	if r.ending {
+		return r.reject(m)
+	}
 	accepted, err := r.accept(now, id, c, m)
 	if err != nil {
 		return invalid(m, err)
@@ -132,6 +134,15 @@
 	return MessageResult{Accepted: accepted, Event: ev}
 }
 
+// reject is the result of a request that is not accepted, whatever it is.
+func (r *Registry) reject(m *Message) MessageResult {
+	if m.requestErr != nil {
+		return invalid(m, m.requestErr)
+	}
+	return MessageResult{Rejected: true, Ticket: m.params.Ticket,
+		Reply: thrift.DispatchException{Which: thrift.ShedException}.Append(nil, m.request.Seq)}
+}
+
 // invalid is the result of a request that is itself at fault.
 func invalid(m *Message, err error) MessageResult {
 	return MessageResult{Invalid: true, Reply: FaultReply(m.request.Seq, err.Error()), Ticket: m.params.Ticket,
--- a/internal/frontend/thriftserver/registry.go
+++ b/internal/frontend/thriftserver/registry.go
@@ -45,6 +45,7 @@
 	byTicket map[string]*Request
 	lastID   cresspass.QueryID
 	draining bool
+	ending   bool
 }
 
 // New returns a registry without connections.
@@ -72,6 +73,9 @@
 // Draining reports whether Drain was called.
 func (r *Registry) Draining() bool { return r.draining }
 
+// End has every request rejected that comes from now on: it could not be answered in time.
+func (r *Registry) End() { r.ending = true }
+
 // AddConn takes a new connection.
 func (r *Registry) AddConn(now time.Time, id ConnID) {
 	r.conns[id] = &conn{open: map[int32]*Request{}, lastActive: now}
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -176,10 +176,7 @@
 	if rejected {
 		c.frontend.respondError(verdict.Accepted.ID, thrift.ShedException, 0, reasonNotServing)
 	}
-	if verdict.Invalid {
-		service.malformedMessages.Add(1)
-		service.events.Add(requestEvent(eventlog.RequestMalformed, verdict.Ticket, verdict.Reason))
-	}
+	c.recordRejected(verdict, string(reasonNotServing))
 	if verdict.Reply != nil {
 		c.send(verdict.Reply, 1)
 	}
@@ -189,6 +186,18 @@
 	return !verdict.EndOfInput
 }
 
+// recordRejected records a request that is itself at fault, or was rejected as it came, for a reason.
+func (c *clientConn) recordRejected(result thriftserver.MessageResult, why string) {
+	service := c.frontend.service
+	switch {
+	case result.Invalid:
+		service.malformedMessages.Add(1)
+		service.events.Add(requestEvent(eventlog.RequestMalformed, result.Ticket, result.Reason))
+	case result.Rejected:
+		service.events.Add(requestEvent(eventlog.RequestRejected, result.Ticket, why))
+	}
+}
+
 // handleReadTimeout handles a connection on which nothing more arrived in time. It reports
 // whether the connection ends.
 func (c *clientConn) handleReadTimeout() bool {
--- a/internal/platform/eviction.go
+++ b/internal/platform/eviction.go
@@ -73,17 +73,33 @@
 	}
 }
 
-// abortAll ends all connections: what is still open is failed first.
-func (f *frontend) abortAll() {
+// failOpen fails what is open, and has what still comes rejected. All connections end but those on which
+// something is there: that is answered first, and retireUnused ends them.
+func (f *frontend) failOpen() {
 	f.mu.Lock()
+	f.registry.End()
 	conns := make([]*clientConn, 0, len(f.conns))
 	for _, client := range f.conns {
 		conns = append(conns, client)
 	}
 	f.mu.Unlock()
 	for _, client := range conns {
-		client.abort(faultExiting, closedAtExit)
-		client.retire()
+		client.failOpen()
+	}
+}
+
+// failOpen fails what is open on a connection and retires it, unless a message may be there.
+func (c *clientConn) failOpen() {
+	c.frontend.mu.Lock()
+	open := c.frontend.registry.EndOpen(c.id)
+	ends := !c.mayHoldMessage() && c.frontend.registry.Close(c.id)
+	if ends {
+		c.frontend.recordClose(closedAtExit)
+	}
+	c.frontend.mu.Unlock()
+	c.failRequests(open, faultExiting)
+	if ends {
+		c.retire()
 	}
 }
 
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -34,7 +34,10 @@
 	// Of a shutdown. Before SIGTERM all are nil.
 	drainBacklog <-chan time.Time // the listener closes once its backlog is empty; nil again after that
 	failOpen     <-chan time.Time // requests that are still open are failed
-	exit         <-chan time.Time // the process ends, whatever is open
+	exit         <-chan time.Time // the process ends, whatever is open; nil before failOpen
+
+	shuttingDown bool
+	exitAfter    time.Duration // from failOpen to exit
 }
 
 // run serves until a shutdown is over.
@@ -74,7 +77,7 @@
 	switch {
 	case sig == syscall.SIGHUP:
 		l.reload.start()
-	case l.exit == nil:
+	case !l.shuttingDown:
 		l.beginShutdown(sig)
 	}
 }
@@ -93,8 +96,9 @@
 		s.loop.Post(cresspass.Event{Type: cresspass.ShutdownScheduled,
 			RemainingDeadline: longest + answerMargin})
 	}
-	l.drainBacklog, l.exit = time.After(acceptAfterTerm), time.After(longest+exitMargin)
-	l.failOpen = time.After(max(longest+lastAnswerMargin, acceptAfterTerm))
+	failAfter := max(longest+lastAnswerMargin, acceptAfterTerm)
+	l.shuttingDown, l.exitAfter = true, longest+exitMargin-failAfter
+	l.drainBacklog, l.failOpen = time.After(acceptAfterTerm), time.After(failAfter)
 	l.sweep.Reset(shutdownSweepInterval)
 }
 
@@ -113,19 +117,22 @@
 func (l *lifecycle) sweepDone() bool {
 	s := l.service
 	s.pool.sweep()
-	if l.exit == nil || l.drainBacklog != nil {
+	if !l.shuttingDown || l.drainBacklog != nil {
 		return false
 	}
 	s.frontend.retireUnused()
 	return s.frontend.finished() && s.openAttempts() == 0
 }
 
-// failOpenRequests answers what is open, and admits nothing more.
+// failOpenRequests answers what is open, and admits nothing more. The process ends some time later: both timers
+// counted from SIGTERM would be over at once in a process that did not run for a moment, which then ended
+// without an answer to what came meanwhile.
 func (l *lifecycle) failOpenRequests() {
+	l.exit = time.After(l.exitAfter)
 	if mutantEnabled(mutantNoShutdownAnswers) {
 		return
 	}
 	l.service.recordChange("open requests are failed")
-	l.service.frontend.abortAll()
+	l.service.frontend.failOpen()
 	l.service.guard.setServing(false)
 }
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -1,10 +1,6 @@
 package platform
 
-import (
-	"time"
-
-	"cresspass/internal/eventlog"
-)
+import "time"
 
 const (
 	// maxOverflowConns is how many connections beyond the capacity are read at once. Their descriptors are among
@@ -58,12 +54,7 @@
 	c.frontend.mu.Lock()
 	result := c.frontend.registry.RejectMessage(message)
 	c.frontend.mu.Unlock()
-	switch {
-	case result.Invalid:
-		c.frontend.service.events.Add(requestEvent(eventlog.RequestMalformed, result.Ticket, result.Reason))
-	case result.Ticket != "":
-		c.frontend.service.events.Add(requestEvent(eventlog.RequestRejected, result.Ticket, reasonNoCapacity))
-	}
+	c.recordRejected(result, reasonNoCapacity)
 	if result.Reply == nil {
 		return !result.EndOfInput
 	}
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -201,3 +201,32 @@
 		t.Error("it does not end")
 	}
 }
+
+// TestRequestsDuringStallAtExit guards against lost requests: a process that did not run as its shutdown came to
+// its end closed connections over requests that had come meanwhile.
+func TestRequestsDuringStallAtExit(t *testing.T) {
+	h := newHarness(t, 256)
+	client := h.dial()
+	seq := h.sendHeld(client, 1) // its connection stays in use
+	resume := h.pauseLoop()
+	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	go func() { ended <- h.run(signals) }()
+	signals <- syscall.SIGTERM
+	time.Sleep(maxShutdownWait + lastAnswerMargin/2)
+	h.frontend.mu.Lock() // nothing goes on until the process should have ended
+	late := client.send(requestFields(ticket(2), "quick", "5000"))
+	time.Sleep(exitMargin)
+	h.frontend.mu.Unlock()
+	answered := map[int32]string{}
+	for range 2 {
+		got := client.receive()
+		answered[got.seq] = got.kind
+	}
+	if kind := answered[late]; answered[seq] != "fault" || kind != "shed" && kind != "fault" {
+		t.Errorf("%v, want a fault for %d, and a fault or a rejection for %d", answered, seq, late)
+	}
+	resume()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
