--- a/cmd/cresspass/soak.go
+++ b/cmd/cresspass/soak.go
@@ -22,6 +22,8 @@
 	Mutant      string        `help:"A guard to take out of that program, to see that it is missed."`
 	Keep        string        `help:"Folder for logs; else they go with the run."`
 	Plan        bool          `help:"Print the plans and play none."`
+	Stress      bool          `help:"Plans in which what is rare coincides: copies, crowds, stalls, few files."`
+	Repeat      int           `default:"1" help:"Plays of each plan."`
 }
 
 // A soak needs peers, and one machine bears so many processes.
@@ -53,30 +55,46 @@
 	broken := 0
 	for seed := c.Seed; seed < c.Seed+uint64(c.Seeds) && ctx.Err() == nil; seed++ {
 		plan := soak.NewPlan(soak.Options{Seed: seed, Duration: c.For, Dispatchers: c.Dispatchers,
-			Faults: c.Faults})
+			Faults: c.Faults, Stress: c.Stress})
 		if c.Plan {
 			fmt.Print(plan)
 			continue
 		}
-		report, err := c.play(ctx, plan, program)
+		plays, err := c.playRepeatedly(ctx, plan, program)
 		if err != nil {
 			return err
 		}
+		broken += plays
+	}
+	if broken > 0 {
+		return fmt.Errorf("%w: %d of %d plays", errRulesBroken, broken, c.Seeds*c.Repeat)
+	}
+	return nil
+}
+
+// playRepeatedly plays a plan as often as is asked and prints each report. It returns in how many plays a rule
+// was broken.
+func (c soakCmd) playRepeatedly(ctx context.Context, plan *soak.Plan, program string) (broken int, err error) {
+	for number := 1; number <= c.Repeat && ctx.Err() == nil; number++ {
+		report, err := c.play(ctx, plan, program, number)
+		if err != nil {
+			return broken, err
+		}
 		if err := report.Write(os.Stdout); err != nil {
-			return err
+			return broken, err
 		}
 		if report.Broken() {
 			broken++
 		}
 	}
-	if broken > 0 {
-		return fmt.Errorf("%w: %d of %d seeds", errRulesBroken, broken, c.Seeds)
+	if c.Repeat > 1 {
+		fmt.Printf("seed %d: rules were broken in %d of %d plays\n", plan.Seed, broken, c.Repeat)
 	}
-	return nil
+	return broken, nil
 }
 
 // play plays one plan, in the folder for logs or in a temporary one.
-func (c soakCmd) play(ctx context.Context, plan *soak.Plan, program string) (*soak.Report, error) {
+func (c soakCmd) play(ctx context.Context, plan *soak.Plan, program string, number int) (*soak.Report, error) {
 	dir := c.Keep
 	if dir == "" {
 		var err error
@@ -87,5 +105,8 @@
 	} else {
 		dir = filepath.Join(dir, fmt.Sprint(plan.Seed))
 	}
+	if number > 1 { // each play has a folder of its own
+		dir = filepath.Join(dir, fmt.Sprintf("play-%d", number))
+	}
 	return soak.Run(ctx, soak.Config{Plan: plan, Program: program, Dir: dir, Mutant: c.Mutant})
 }
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -243,7 +243,7 @@
 
 // hangUp resets the connection of a call without an answer.
 func hangUp(w http.ResponseWriter) {
-	if conn, ok := hijack(w); ok {
+	if conn, _, ok := hijack(w); ok {
 		reset(conn)
 	}
 }
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -81,7 +81,7 @@
 // setUp makes the stand-ins and the dispatchers, whose processes are not started yet.
 func (f *fleet) setUp(stopNodes <-chan struct{}) error {
 	for i := range f.plan.Nodes {
-		n, err := newComputeNode(i, f.oracle, f.plan.Seed)
+		n, err := newComputeNode(i, f.oracle, f.plan.Seed, f.plan.NodeBehavior)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -32,8 +32,9 @@
 // computeNode stands in for a compute node: one process after another at one address. Each process is a
 // generation.
 type computeNode struct {
-	index  int
-	oracle *oracle
+	index    int
+	oracle   *oracle
+	behavior NodeBehavior
 
 	mu           sync.Mutex
 	changing     bool // its process is being ended or replaced
@@ -50,12 +51,13 @@
 }
 
 // newComputeNode starts a compute node.
-func newComputeNode(index int, o *oracle, seed uint64) (*computeNode, error) {
+func newComputeNode(index int, o *oracle, seed uint64, behavior NodeBehavior) (*computeNode, error) {
 	n := &computeNode{
-		index:  index,
-		oracle: o,
-		runs:   map[string]*queryRun{},
-		random: rand.New(rand.NewPCG(seed, uint64(index)+1)),
+		index:    index,
+		oracle:   o,
+		behavior: behavior,
+		runs:     map[string]*queryRun{},
+		random:   rand.New(rand.NewPCG(seed, uint64(index)+1)),
 	}
 	return n, n.listen("127.0.0.1:0")
 }
@@ -161,7 +163,11 @@
 	runTime := mean/2 + time.Duration(n.random.ExpFloat64()*float64(mean)/2)
 	now := time.Now()
 	r := &queryRun{class: class, polledAt: now, endsAt: now.Add(runTime), over: make(chan struct{})}
-	for page := range 1 + n.random.IntN(maxPages) {
+	pages := n.behavior.Pages
+	if pages == 0 {
+		pages = 1 + n.random.IntN(maxPages)
+	}
+	for page := range pages {
 		r.pages = append(r.pages, fmt.Sprintf("%s\t%d\t%016x\n", ticket, page, n.random.Uint64()))
 	}
 	return r
--- a/internal/soak/node_http.go
+++ b/internal/soak/node_http.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,9 +31,7 @@
 // cancels it, and anything else is a health check.
 func (n *computeNode) ServeHTTP(w http.ResponseWriter, q *http.Request) {
 	_, _ = io.ReadAll(q.Body) // a body that breaks off ends the request's context too
-	n.mu.Lock()
-	hung, full, failing := n.hanging, n.full, n.errors
-	n.mu.Unlock()
+	hung, full, failing := n.drawTrouble()
 	ticket := q.Header.Get(headerTicket)
 	limit, err := strconv.Atoi(q.Header.Get(headerLimitMS))
 	if err == nil && limit < silentDropBelowMS {
@@ -55,25 +52,38 @@
 	path := strings.Split(strings.Trim(q.URL.Path, "/"), "/")
 	switch {
 	case q.Method == http.MethodPost && full:
-		w.Header().Set(headerShed, "1")
-		w.WriteHeader(http.StatusServiceUnavailable)
+		n.write(w, nodeAnswer{status: http.StatusServiceUnavailable, header: headerShed, value: "1"})
 	case q.Method == http.MethodPost && failing:
 		n.endRun(ticket, r, false)
-		w.WriteHeader(http.StatusInternalServerError)
+		n.write(w, nodeAnswer{status: http.StatusInternalServerError})
 	case q.Method == http.MethodPost:
 		n.writeResult(w, q, ticket, r)
 	case q.Method == http.MethodDelete && len(path) == 2:
 		if r := n.find(path[1]); r != nil {
 			n.endRun(path[1], r, false)
 		}
-		w.WriteHeader(http.StatusNoContent)
+		n.write(w, nodeAnswer{status: http.StatusNoContent})
 	case q.Method == http.MethodGet && len(path) == 3:
 		n.answerPoll(w, q, path[1], path[2])
 	default:
-		w.WriteHeader(http.StatusOK)
+		n.write(w, nodeAnswer{status: http.StatusOK})
 	}
 }
 
+// drawTrouble returns how a call is answered: after a hang, as by a full node, or as by one that fails.
+func (n *computeNode) drawTrouble() (hung chan struct{}, full, failing bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	full, failing = n.full, n.errors
+	if n.behavior.ShedShare > 0 {
+		full = full || n.random.Float64() < n.behavior.ShedShare
+	}
+	if n.behavior.FailShare > 0 {
+		failing = failing || n.random.Float64() < n.behavior.FailShare
+	}
+	return n.hanging, full, failing
+}
+
 // answerPoll answers a poll for a page of a result.
 func (n *computeNode) answerPoll(w http.ResponseWriter, q *http.Request, ticket, number string) {
 	n.mu.Lock()
@@ -85,7 +95,7 @@
 	page, _ := strconv.Atoi(number) // what is no number polls for the first page
 	switch {
 	case r == nil || page < 0 || page >= len(r.pages):
-		w.WriteHeader(http.StatusInternalServerError)
+		n.write(w, nodeAnswer{status: http.StatusInternalServerError})
 	case page == 0:
 		n.writeResult(w, q, ticket, r)
 	default:
@@ -105,7 +115,7 @@
 		n.endRun(ticket, r, true)
 	case <-r.over:
 	case <-stillRuns.C:
-		w.WriteHeader(http.StatusAccepted)
+		n.write(w, nodeAnswer{status: http.StatusAccepted})
 		return
 	case <-q.Context().Done():
 		return
@@ -118,45 +128,18 @@
 	n.mu.Lock()
 	twice, succeeded := n.answersTwice, r.succeeded
 	n.mu.Unlock()
-	switch {
-	case !succeeded:
-		w.WriteHeader(http.StatusInternalServerError)
-	case twice:
-		n.writePageTwice(w, r, page)
-	default:
-		if page == 0 {
-			w.Header().Set(headerPageCount, fmt.Sprint(len(r.pages)))
-		} else {
-			w.Header().Set(headerPage, fmt.Sprint(page))
-		}
-		writeBestEffort(w, []byte(r.pages[page]))
-	}
-}
-
-// writePageTwice writes a page and, some time later, a copy of the whole answer on the same connection.
-func (n *computeNode) writePageTwice(w http.ResponseWriter, r *queryRun, page int) {
-	conn, ok := hijack(w)
-	if !ok {
+	if !succeeded {
+		n.write(w, nodeAnswer{status: http.StatusInternalServerError})
 		return
 	}
-	defer conn.Close()
-	number := "" // the first page has none, as on the platform
-	if page > 0 {
-		number = fmt.Sprintf("%s: %d\r\n", headerPage, page)
+	answer := nodeAnswer{status: http.StatusOK, header: headerPageCount, value: fmt.Sprint(len(r.pages)),
+		body: r.pages[page]}
+	if page > 0 { // the first page has no number, as on the platform
+		answer.header, answer.value = headerPage, fmt.Sprint(page)
+	}
+	if twice {
+		n.writeTwice(w, answer)
+	} else {
+		n.write(w, answer)
 	}
-	answer := []byte(fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %d\r\n%sContent-Length: %d\r\n\r\n%s",
-		headerPageCount, len(r.pages), number, len(r.pages[page]), r.pages[page]))
-	n.mu.Lock()
-	delay := minDuplicateDelay + time.Duration(n.random.Int64N(int64(maxDuplicateDelay-minDuplicateDelay)))
-	n.mu.Unlock()
-	writeBestEffort(conn, answer)
-	time.Sleep(delay)
-	writeBestEffort(conn, answer)
-	time.Sleep(duplicateLinger)
-}
-
-// hijack takes a connection from its server; ok is false where the server has ended.
-func hijack(w http.ResponseWriter) (conn net.Conn, ok bool) {
-	conn, _, err := w.(http.Hijacker).Hijack()
-	return conn, err == nil
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -19,6 +19,8 @@
 	Sockets     int     // descriptors of each dispatcher
 	Crowd       bool    // idle clients fill the descriptors of all dispatchers
 	Faults      []Fault // by their start
+
+	NodeBehavior NodeBehavior
 }
 
 // String lists the plan's faults, one a line, behind a line of its settings.
@@ -28,6 +30,9 @@
 		"seed %d: %d dispatchers, %d compute nodes, %.0f requests a second each, budget %v, %d files, "+
 			"crowd %v, %v\n",
 		p.Seed, p.Dispatchers, p.Nodes, p.Rate, p.Budget, p.Sockets, p.Crowd, p.Duration)
+	if p.NodeBehavior != (NodeBehavior{}) {
+		fmt.Fprintf(&b, "  stressed: %s\n", p.NodeBehavior)
+	}
 	for _, fault := range p.Faults {
 		fmt.Fprintf(&b, "  %s\n", fault)
 	}
@@ -66,6 +71,7 @@
 	Duration    time.Duration
 	Dispatchers int
 	Faults      bool // the program was built with the tag faults
+	Stress      bool // what rarely coincides does
 }
 
 // Bounds and means of what a plan draws.
@@ -130,6 +136,9 @@
 		at += exponential(r, meanFaultInterval)
 	}
 	addSignalSeries(rand.New(rand.NewPCG(o.Seed, signalStream)), p)
+	if o.Stress {
+		addStress(rand.New(rand.NewPCG(o.Seed, stressStream)), p)
+	}
 	sort.SliceStable(p.Faults, func(i, j int) bool { return p.Faults[i].At < p.Faults[j].At })
 	return p
 }
@@ -146,13 +155,24 @@
 		})
 		at += exponential(r, meanSignalSeriesInterval)
 	}
-	if p.Crowd = r.Float64() < crowdChance; !p.Crowd {
+	if r.Float64() < crowdChance {
+		addCrowd(p)
+	}
+}
+
+// addCrowd adds idle clients that fill the descriptors of all dispatchers, unless the plan has them.
+func addCrowd(p *Plan) {
+	if p.Crowd {
 		return
 	}
-	p.Sockets = min(p.Sockets, maxCrowdSockets)
+	p.Crowd, p.Sockets = true, min(p.Sockets, maxCrowdSockets)
 	for i := range p.Dispatchers {
-		p.Faults = append(p.Faults,
-			Fault{At: quietAtStart, Duration: end - quietAtStart, Kind: ClientsCrowd, Dispatcher: i})
+		p.Faults = append(p.Faults, Fault{
+			At:         quietAtStart,
+			Duration:   p.Duration - quietAtEnd - quietAtStart,
+			Kind:       ClientsCrowd,
+			Dispatcher: i,
+		})
 	}
 }
 
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -15,6 +15,12 @@
 	if o.Seed++; p.String() == NewPlan(o).String() {
 		t.Error("another seed gives the same plan")
 	}
+	if o.Stress = true; NewPlan(o).String() != NewPlan(o).String() {
+		t.Error("the same seed gives another stressed plan")
+	}
+	if stressed := NewPlan(o); !stressed.Crowd || stressed.NodeBehavior.CopyShare == 0 {
+		t.Errorf("a stressed plan without a crowd or without copies: %v", stressed)
+	}
 	overlap := 0
 	for i, a := range p.Faults {
 		for _, b := range p.Faults[:i] {
