--- a/cmd/cresspass/soak.go
+++ b/cmd/cresspass/soak.go
@@ -22,7 +22,7 @@
 	Mutant      string        `help:"A guard to take out of that program, to see that it is missed."`
 	Keep        string        `help:"Folder for logs; else they go with the run."`
 	Plan        bool          `help:"Print the plans and play none."`
-	Stress      bool          `help:"Plans in which what is rare coincides: copies, crowds, stalls, few files."`
+	Stress      bool          `help:"Plans in which the rare coincides: copies, crowds, stalls, few files."`
 	Repeat      int           `default:"1" help:"Plays of each plan."`
 }
 
@@ -72,9 +72,10 @@
 	return nil
 }
 
-// playRepeatedly plays a plan as often as is asked and prints each report. It returns in how many plays a rule
-// was broken.
-func (c soakCmd) playRepeatedly(ctx context.Context, plan *soak.Plan, program string) (broken int, err error) {
+// playRepeatedly plays a plan as often as is asked and prints each report. It returns in how many plays a
+// rule was broken.
+func (c soakCmd) playRepeatedly(ctx context.Context, plan *soak.Plan, program string) (int, error) {
+	broken := 0
 	for number := 1; number <= c.Repeat && ctx.Err() == nil; number++ {
 		report, err := c.play(ctx, plan, program, number)
 		if err != nil {
@@ -94,7 +95,8 @@
 }
 
 // play plays one plan, in the folder for logs or in a temporary one.
-func (c soakCmd) play(ctx context.Context, plan *soak.Plan, program string, number int) (*soak.Report, error) {
+func (c soakCmd) play(ctx context.Context, plan *soak.Plan, program string,
+	number int) (*soak.Report, error) {
 	dir := c.Keep
 	if dir == "" {
 		var err error
--- a/internal/backend/duplicateresponse/detector.go
+++ b/internal/backend/duplicateresponse/detector.go
@@ -81,7 +81,8 @@
 	known := slices.Contains(d.knownRepeats, f)
 	switch {
 	case resp.Status == http.StatusOK:
-		// While duplicates come, a result that is known to repeat may be one too, and the query's own rows others.
+		// While duplicates come, a result that is known to repeat may be one too, and the query's own rows
+		// others.
 		return !known || duplicateRecent
 	case known:
 		return false
--- a/internal/frontend/thriftserver/message.go
+++ b/internal/frontend/thriftserver/message.go
@@ -145,8 +145,8 @@
 
 // invalid is the result of a request that is itself at fault.
 func invalid(m *Message, err error) MessageResult {
-	return MessageResult{Invalid: true, Reply: FaultReply(m.request.Seq, err.Error()), Ticket: m.params.Ticket,
-		Reason: err.Error()}
+	return MessageResult{Invalid: true, Reply: FaultReply(m.request.Seq, err.Error()),
+		Ticket: m.params.Ticket, Reason: err.Error()}
 }
 
 // FaultReply is the reply to a request that is itself at fault.
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -13,7 +13,7 @@
 const (
 	minAcceptBackoff     = time.Millisecond      // after an accept that failed by our own machine, doubled...
 	maxAcceptBackoff     = 16 * time.Millisecond // ...with each in a row, up to this
-	maxAcceptErrors      = 16                    // in a row, whatever they are, after which there is a pause too
+	maxAcceptErrors      = 16                    // in a row, whatever they are, before there is a pause too
 	acceptBlockedAfter   = time.Millisecond      // an accept that took longer waited for its connection
 	backlogPollTimeout   = 2 * time.Millisecond  // of an accept while the backlog is drained...
 	maxEmptyBacklogPolls = 3                     // ...which ends after more than so many in vain
--- a/internal/platform/attemptcall.go
+++ b/internal/platform/attemptcall.go
@@ -28,7 +28,8 @@
 			}
 		}
 		if a.exclusive && conn.failureSeen && !mutantEnabled(mutantAcceptFailures) {
-			// A late copy of that failure would end this query's attempt while it runs, and it could run twice.
+			// A late copy of that failure would end this query's attempt while it runs, and it could run
+			// twice.
 			a.service.pool.put(conn, true)
 			conn, wanted.fresh = nil, true
 			continue
--- a/internal/platform/clientread.go
+++ b/internal/platform/clientread.go
@@ -93,9 +93,9 @@
 	socket *deadlineReader
 }
 
-// Read waits until something is in the socket before it takes bytes out of it: whoever looks at the connection
-// meanwhile finds a message in the socket or, by holdsInput, with its reader. Otherwise a message that was read
-// and not handled yet would be lost with a connection that is closed as unused.
+// Read waits until something is in the socket before it takes bytes out of it: whoever looks at the
+// connection meanwhile finds a message in the socket or, by holdsInput, with its reader. Otherwise a message
+// that was read and not handled yet would be lost with a connection that is closed as unused.
 func (r *inputReader) Read(b []byte) (int, error) {
 	if !r.client.readable {
 		r.client.setHoldsInput(false)
--- a/internal/platform/latecopy_test.go
+++ b/internal/platform/latecopy_test.go
@@ -64,8 +64,8 @@
 	}
 }
 
-// TestLateCopyOfRejection guards against an effect twice: a late copy of a rejection or an error was taken for
-// the answer to the next query, which ran, and counted as one that had not run or had ended.
+// TestLateCopyOfRejection guards against an effect twice: a late copy of a rejection or an error was taken
+// for the answer to the next query, which ran, and counted as one that had not run or had ended.
 func TestLateCopyOfRejection(t *testing.T) {
 	const rejectionForgotten = 1500 * time.Millisecond // by then the compute node gets queries again
 	for name, response := range map[string]string{
--- a/internal/platform/lifecycle.go
+++ b/internal/platform/lifecycle.go
@@ -124,9 +124,9 @@
 	return s.frontend.finished() && s.openAttempts() == 0
 }
 
-// failOpenRequests answers what is open, and admits nothing more. The process ends some time later: both timers
-// counted from SIGTERM would be over at once in a process that did not run for a moment, which then ended
-// without an answer to what came meanwhile.
+// failOpenRequests answers what is open, and admits nothing more. The process ends some time later: both
+// timers counted from SIGTERM would be over at once in a process that did not run for a moment, which then
+// ended without an answer to what came meanwhile.
 func (l *lifecycle) failOpenRequests() {
 	l.exit = time.After(l.exitAfter)
 	if mutantEnabled(mutantNoShutdownAnswers) {
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -3,8 +3,8 @@
 import "time"
 
 const (
-	// maxOverflowConns is how many connections beyond the capacity are read at once. Their descriptors are among
-	// the reserved ones.
+	// maxOverflowConns is how many connections beyond the capacity are read at once. Their descriptors are
+	// among the reserved ones.
 	maxOverflowConns = 8
 	// overflowTimeout is how long messages on such a connection have to come whole, and replies to be taken.
 	overflowTimeout = 300 * time.Millisecond
@@ -12,11 +12,11 @@
 	overflowLinger = 50 * time.Millisecond
 )
 
-// reasonNoCapacity is the reason of a request that came on a connection beyond the capacity, in the event log.
+// reasonNoCapacity is the reason of a request that came on a connection beyond the capacity, in the log.
 const reasonNoCapacity = "no capacity for another connection"
 
-// rejectOverflow has a connection served beyond the capacity for clients: what has come on it is answered, its
-// requests by a rejection, and it is closed. Closed at once it would take requests with it that count as
+// rejectOverflow has a connection served beyond the capacity for clients: what has come on it is answered,
+// its requests by a rejection, and it is closed. Closed at once it would take requests with it that count as
 // received. While there are too many of them, it waits: the connections that are not accepted meanwhile stay
 // in the backlog, and nothing on them is lost.
 func (f *frontend) rejectOverflow(client *clientConn) {
--- a/internal/platform/overflow_test.go
+++ b/internal/platform/overflow_test.go
@@ -11,8 +11,8 @@
 	"cresspass/internal/protocol/thrift"
 )
 
-// holdAccepts has the dispatcher that a test starts accept nothing until the function it returns is called, as
-// a process that does not run.
+// holdAccepts has the dispatcher that a test starts accept nothing until the function it returns is called,
+// as a process that does not run.
 func holdAccepts(t *testing.T) (release func()) {
 	gate := make(chan struct{})
 	withSystem(t, func(s *system) {
@@ -51,8 +51,7 @@
 	check := h.dial()
 	check.conn.Write(thrift.Alive{}.Append(nil, 1))
 	slow := h.dial()
-	call := thrift.Dispatch{Fields: requestFields(ticket(clients+1), "quick", "1500"), Body: []byte("SELECT 1")}
-	message := call.Append(nil, 1)
+	message := requestMessage(clients+1, 1)
 	slow.conn.Write(message[:len(message)/2])
 	release()
 	time.Sleep(100 * time.Millisecond)
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -202,8 +202,8 @@
 	}
 }
 
-// TestRequestsDuringStallAtExit guards against lost requests: a process that did not run as its shutdown came to
-// its end closed connections over requests that had come meanwhile.
+// TestRequestsDuringStallAtExit guards against lost requests: a process that did not run as its shutdown came
+// to its end closed connections over requests that had come meanwhile.
 func TestRequestsDuringStallAtExit(t *testing.T) {
 	h := newHarness(t, 256)
 	client := h.dial()
--- a/internal/soak/stress.go
+++ b/internal/soak/stress.go
@@ -17,8 +17,8 @@
 
 // String lists the shares.
 func (b NodeBehavior) String() string {
-	return fmt.Sprintf("nodes copy %.2f, shed %.2f, fail %.2f, %d pages", b.CopyShare, b.ShedShare, b.FailShare,
-		b.Pages)
+	return fmt.Sprintf("nodes copy %.2f, shed %.2f, fail %.2f, %d pages", b.CopyShare, b.ShedShare,
+		b.FailShare, b.Pages)
 }
 
 // stressStream keeps the draws of a stressed plan apart from others of the same seed.
@@ -43,16 +43,18 @@
 // connections, compute nodes that send copies, and processes that do not run while clients come and go.
 func addStress(r *rand.Rand, p *Plan) {
 	p.Sockets, p.Rate = stressSockets, p.Rate*stressRateFactor
-	p.NodeBehavior = NodeBehavior{CopyShare: stressCopyShares[r.IntN(len(stressCopyShares))], Pages: stressPages}
+	copyShare := stressCopyShares[r.IntN(len(stressCopyShares))]
+	p.NodeBehavior = NodeBehavior{CopyShare: copyShare, Pages: stressPages}
 	if r.Float64() < stressedFailures {
 		p.NodeBehavior.ShedShare, p.NodeBehavior.FailShare = stressShedShare, stressFailShare
 	}
 	addCrowd(p)
-	end := p.Duration - quietAtEnd
-	for at := quietAtStart + exponential(r, meanStallSeries); at < end; at += exponential(r, meanStallSeries) {
+	at := quietAtStart + exponential(r, meanStallSeries)
+	for at < p.Duration-quietAtEnd {
 		dispatcher := r.IntN(p.Dispatchers)
 		clients := Fault{At: at, Duration: extraLongFault, Kind: MalformedClients, Dispatcher: dispatcher}
 		stall := Fault{At: at + maxPause, Duration: maxPause, Kind: Pause, Dispatcher: dispatcher}
 		p.Faults = append(p.Faults, clients, stall)
+		at += exponential(r, meanStallSeries)
 	}
 }
