--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -15,10 +15,12 @@
 	if o.Seed++; p.String() == NewPlan(o).String() {
 		t.Error("another seed gives the same plan")
 	}
-	if o.Stress = true; NewPlan(o).String() != NewPlan(o).String() {
+	o.Stress = true
+	stressed, again := NewPlan(o), NewPlan(o)
+	if stressed.String() != again.String() {
 		t.Error("the same seed gives another stressed plan")
 	}
-	if stressed := NewPlan(o); !stressed.Crowd || stressed.NodeBehavior.CopyShare == 0 {
+	if !stressed.Crowd || stressed.NodeBehavior.CopyShare == 0 {
 		t.Errorf("a stressed plan without a crowd or without copies: %v", stressed)
 	}
 	overlap := 0
