Fleet clock: a member follows a clock that others share, not what one liar says

Cause, from the groups of clocks printed each round: members who saw no majority moved to the median of their samples, and where the two halves are near each other in number that median is now and then a liar's value between them. Others followed it, and the fleet split anew (rounds 12, 17, 23, 45).

Change: of the sixteenth of samples on each side of the median, the one on which most agree is followed. That is the median still where no two agree.

It is rarer, not excluded.

TestClocksConvergeDespiteLoneLiars fails on the old code.

--- a/internal/membership/clocksync/clock.go
+++ b/internal/membership/clocksync/clock.go
@@ -1,6 +1,7 @@
 // Package clocksync has the members of a fleet agree on one clock, by which they take turns as aggregators.
 // Each process's own clock begins when it starts, and wall clocks may be an hour off; so no member's clock
-// is the reference, but the median of what all members say theirs is. It does no I/O and reads no clock.
+// is the reference, but one near the median of what all members say theirs is, on which most agree. It does
+// no I/O and reads no clock.
 package clocksync
 
 import (
@@ -15,6 +16,8 @@
 	tolerance = 250 * time.Millisecond
 	// maxClock bounds the clocks that are accepted, so that differences cannot overflow.
 	maxClock = 1 << 62
+	// middleShare: one in so many of the samples, on each side of the median, may be followed in its place.
+	middleShare = 16
 )
 
 // sample is a member's clock, as its offset from ours.
@@ -44,9 +47,10 @@
 // Forget drops a member's sample.
 func (c *Clock) Forget(name string) { delete(c.samples, name) }
 
-// Sync moves the clock to the median of all samples, its own among them, where they disagree, and reports
-// whether it was moved. Of an even number the later of the two in the middle counts, so that two halves of a
-// healed split, or a fleet of two, choose alike.
+// Sync moves the clock to the one, near the median of all samples and its own, on which most of them agree,
+// and reports whether it was moved. The median alone would not do: it may be what a single liar says. Of two
+// on which as many agree the later of those nearest to the median counts, so that two halves of a healed
+// split, or a fleet of two, choose alike.
 //
 // A clock that agrees with most samples is left alone: one that followed the median at each step would fall
 // behind by the samples' time on the network, again and again, and the fleet's clock would run slow.
@@ -69,14 +73,37 @@
 		return false
 	}
 	slices.Sort(offsets)
-	median := offsets[len(offsets)/2]
-	if c.agrees(median) {
+	target := mostShared(offsets)
+	if c.agrees(target) {
 		return false
 	}
-	c.offset = median
+	c.offset = target
 	return true
 }
 
+// mostShared returns, of the sorted offsets near the median, the one with which most of all agree. Of several
+// it is the nearest to the median, and of two as near the later. Members who agree on a false clock have to
+// hold the median to be followed.
+func mostShared(offsets []time.Duration) time.Duration {
+	middle := len(offsets) / 2
+	best, bestAgreeing := offsets[middle], 0
+	for distance := range len(offsets)/middleShare + 1 {
+		for _, i := range [...]int{min(middle+distance, len(offsets)-1), middle - distance} {
+			if agreeing := countAgreeing(offsets, i); agreeing > bestAgreeing {
+				best, bestAgreeing = offsets[i], agreeing
+			}
+		}
+	}
+	return best
+}
+
+// countAgreeing counts the sorted offsets that agree with the one of an index, itself among them.
+func countAgreeing(offsets []time.Duration, index int) int {
+	first, _ := slices.BinarySearch(offsets, offsets[index]-tolerance+1)
+	end, _ := slices.BinarySearch(offsets, offsets[index]+tolerance)
+	return end - first
+}
+
 // agrees reports whether an offset is, within tolerance, the clock's own.
 func (c *Clock) agrees(offset time.Duration) bool {
 	difference := offset - c.offset
--- a/internal/membership/clocksync/clock_test.go
+++ b/internal/membership/clocksync/clock_test.go
@@ -16,6 +16,20 @@
 	clocks  []*Clock
 	started []time.Duration
 	liars   int
+	claim   time.Duration // what all liars say; 0: each something else each time
+}
+
+// newTestFleet returns members that started at times drawn from a seed; of ten or more a fifth are liars.
+func newTestFleet(members int, seed uint64) *testFleet {
+	f := &testFleet{now: 100 * time.Hour, random: rand.New(rand.NewPCG(seed, 1))}
+	if members >= 10 {
+		f.liars = members / 5
+	}
+	for range members {
+		f.clocks = append(f.clocks, New())
+		f.started = append(f.started, time.Duration(f.random.Int64N(int64(100*time.Hour))))
+	}
+	return f
 }
 
 // fleetClock is the fleet's clock as member i has it.
@@ -28,7 +42,10 @@
 		for range 4 {
 			k := f.random.IntN(len(f.clocks))
 			clock := f.fleetClock(k) - time.Duration(f.random.Int64N(int64(100*time.Millisecond)))
-			if k < f.liars {
+			switch {
+			case k < f.liars && f.claim > 0:
+				clock = f.claim
+			case k < f.liars:
 				clock = time.Duration(f.random.Int64N(int64(1000 * time.Hour)))
 			}
 			if k != i {
@@ -57,17 +74,7 @@
 func TestClocksConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(2, 60).Draw(t, "members")
-		f := &testFleet{
-			now:    100 * time.Hour,
-			random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
-		}
-		if n >= 10 {
-			f.liars = n / 5
-		}
-		for range n {
-			f.clocks = append(f.clocks, New())
-			f.started = append(f.started, time.Duration(f.random.Int64N(int64(100*time.Hour))))
-		}
+		f := newTestFleet(n, rapid.Uint64().Draw(t, "seed"))
 		for range 40 {
 			f.round()
 		}
@@ -88,6 +95,32 @@
 	})
 }
 
+// Guards against slow agreement: with this seed the fleet's members took 49 rounds, since they moved to what
+// single liars said.
+func TestClocksConvergeDespiteLoneLiars(t *testing.T) {
+	f := newTestFleet(60, 0xc3)
+	for range 40 {
+		f.round()
+	}
+	if spread := f.spread(); spread > 600*time.Millisecond {
+		t.Errorf("clocks lie %v apart", spread)
+	}
+}
+
+// Guards against following the largest group alone: a fifth that states one clock from the start is one.
+func TestAgreeingLiarsSetNoClock(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newTestFleet(60, seed)
+		f.claim = 900 * time.Hour // honest members began at 100 h or less
+		for range 40 {
+			f.round()
+		}
+		if clock := f.fleetClock(f.liars); clock > 200*time.Hour {
+			t.Errorf("seed %d: the fleet follows its liars to %v", seed, clock)
+		}
+	}
+}
+
 // Two halves of a healed split, each with its own clock, come to agree: the later clock counts, also in a
 // fleet of two.
 func TestHealedSplit(t *testing.T) {
