A query is not sent while a cancel may lie unread, however late its reader runs

Cause: the look before a query is written found bytes in its client's socket, and gave the client's reader 20 ms to handle them. After a pause of the process with some 80 connections to read beside other load that is too short. Bytes that were read and not handled yet it did not see at all.

Change: the look ends once the client's messages that were there are handled, or the request is gone, or the attempt's own time is over (then it is withheld as before). A client that writes without a pause is waited for up to 1,024 messages.

TestCancelReadLatePreventsSend fails without the change, 6 of 6. TestBusyClientIsServed fails without the bound of messages, 3 of 3 (rejected at its deadline).

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -187,7 +187,7 @@
 	if mutantEnabled(mutantNoStartRecheck) {
 		return 0, true
 	}
-	if !a.service.frontend.clientWaiting(a.request) {
+	if !a.service.frontend.clientWaiting(a.request, a.startBy) {
 		a.service.events.Add(a.event(eventlog.AttemptWithheld, "client gone"))
 		return computenode.NotNeeded, false
 	}
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -259,6 +259,48 @@
 	}
 }
 
+// TestCancelReadLatePreventsSend guards against a query that was sent although a cancel lay in its client's
+// socket: the client's reader had 20 ms to come to it.
+func TestCancelReadLatePreventsSend(t *testing.T) {
+	blind, done := blindPeek(t)
+	h := newHarness(t, 256)
+	h.pool.mu.Lock() // no connection is to be had
+	client := h.dial()
+	seq := client.send(requestFields(ticket(1), "quick", "2000"))
+	eventually(t, "the attempt has started", func() bool { return h.attemptCount() == 1 })
+	blind()
+	client.conn.Write(thrift.CancelRequest{TargetSeq: seq}.Append(nil, 99))
+	eventually(t, "the peek that sees nothing", done)
+	h.pool.mu.Unlock()
+	time.Sleep(200 * time.Millisecond)
+	client.conn.Write(thrift.Alive{}.Append(nil, 100)) // its reader comes to both now
+	eventually(t, "the attempt ends", func() bool { return h.attemptCount() == 0 })
+	if n := h.node.callCount("POST"); n != 0 {
+		t.Errorf("%d queries sent for a client that had gone", n)
+	}
+}
+
+// TestBusyClientIsServed: a client that writes without a pause is served, although there is always something
+// in its socket.
+func TestBusyClientIsServed(t *testing.T) {
+	h := newHarness(t, 256)
+	client := h.dial()
+	var cancels []byte
+	for range 4 * maxMessagesAhead {
+		cancels = thrift.CancelRequest{TargetSeq: 7}.Append(cancels, 8) // 7 is not open
+	}
+	go func() {
+		for err := error(nil); err == nil; {
+			_, err = client.conn.Write(cancels)
+		}
+	}()
+	client.lastSeq = 20
+	seq := client.send(requestFields(ticket(1), "quick", "15000"))
+	if got := client.receive(); got.kind != "answer" || got.seq != seq {
+		t.Errorf("%+v", got)
+	}
+}
+
 // TestDrainBeforeSend: a query that waits for a connection goes to another compute node when
 // its own begins to drain meanwhile, and the drained one does not count as failing.
 func TestDrainBeforeSend(t *testing.T) {
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -77,8 +77,9 @@
 	emptyAt   time.Duration // the socket was last seen empty then
 	readable  bool          // something was seen in the socket since it was last read
 
-	// holdsInput: bytes that were read may hold a message that was not handled yet. Guarded by frontend.mu.
-	holdsInput bool
+	// Guarded by frontend.mu.
+	holdsInput bool   // bytes that were read may hold a message that was not handled yet
+	messages   uint64 // handled
 
 	mu              sync.Mutex // guards the fields below, and the read deadline against closing
 	pending         []byte     // output that nobody writes yet
@@ -162,6 +163,7 @@
 	verdict := c.frontend.registry.HandleMessage(time.Now().Add(-c.readDelay), c.id, message)
 	verdict.Event.RemainingDeadline -= c.readDelay
 	c.holdsInput = c.reader.Buffered() > 0
+	c.messages++
 	if mutantEnabled(mutantNoOrderingKey) {
 		verdict.Event.Key = ""
 	}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -15,9 +15,9 @@
 	"cresspass/internal/protocol/thrift"
 )
 
-// readerGrace is how long a client's reader has to read what is in its socket, before a request of
-// that client is sent all the same.
-const readerGrace = 20 * time.Millisecond
+// maxMessagesAhead is how many messages of a client may be handled before what was in its socket at one moment
+// counts as handled. It bounds the wait for a client that writes faster than its messages are read.
+const maxMessagesAhead = 1024
 
 // retryAfterField is the field of a rejection that tells when to come back, in milliseconds.
 const retryAfterField = "later"
@@ -127,28 +127,49 @@
 	return f.registry.Lookup(id)
 }
 
-// clientWaiting reports whether a request's client still waits for it, also by what is in its socket: on a
-// saturated core a close or a cancel may be read after the attempt that it forbids.
-func (f *frontend) clientWaiting(request *thriftserver.Request) bool {
-	f.mu.Lock()
-	client := f.conns[request.Conn]
-	f.mu.Unlock()
+// clientWaiting reports whether a request's client still waits for it, by a time at the latest. What is in the
+// client's socket, or was read and not handled yet, may cancel the request: after a pause of the process a
+// cancel may be read after the attempt that it forbids is due. So the client's reader handles that first.
+func (f *frontend) clientWaiting(request *thriftserver.Request, by time.Time) bool {
 	if mutantEnabled(mutantNoClientCheck) {
-		client = nil
+		return f.request(request.ID) != nil
 	}
-	for begun := time.Now(); client != nil; time.Sleep(peekRetryInterval) {
-		switch client.peek() {
-		case peekClosed:
-			return false
-		case peekEmpty:
-			return f.request(request.ID) != nil
-		}
-		// The unread bytes may cancel the request: the reader has a moment to read them.
-		if f.request(request.ID) == nil || time.Since(begun) > readerGrace {
-			break
+	look := clientLook{frontend: f, request: request}
+	for {
+		waiting, handled := look.once()
+		if !waiting || handled || !time.Now().Before(by) {
+			return waiting
 		}
+		time.Sleep(peekRetryInterval)
+	}
+}
+
+// clientLook looks, once or again, at whether a request's client waits for it.
+type clientLook struct {
+	frontend     *frontend
+	request      *thriftserver.Request
+	begun        bool
+	messageLimit uint64 // of clientConn.messages: what was there at the first look is handled by then
+}
+
+// once reports whether the client waits as far as its messages were handled, and whether all were that were
+// there at the first look.
+func (l *clientLook) once() (waiting, handled bool) {
+	f := l.frontend
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	client := f.conns[l.request.Conn]
+	if client == nil || f.registry.Lookup(l.request.ID) == nil {
+		return false, true
+	}
+	if client.peek() == peekClosed {
+		return false, true
+	}
+	if !l.begun {
+		l.begun = true
+		l.messageLimit = client.messages + maxMessagesAhead
 	}
-	return f.request(request.ID) != nil
+	return true, !client.mayHoldMessage() || client.messages >= l.messageLimit
 }
 
 // respond writes a request's only answer. It returns false where the request has ended already.
