A query whose checks are older than 2 ms is checked again before it is written

Cause: between the checks and the write lie a log line, the placement, a deadline and the request's bytes; a pause in between went unnoticed.

Change: the last look at the client has a time. Where more than 2 ms passed when the bytes are ready, nothing is written, and the attempt is checked and its request made again on the same connection. What is left is a pause between the reading of the clock and the system call.

--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -38,8 +38,9 @@
 	ctx    context.Context // cancelled by stop
 	cancel context.CancelFunc
 
-	// suspected is that of the last response, if it may be a duplicate; for run's goroutine only.
-	suspected duplicateresponse.Fingerprint
+	// For run's goroutine only.
+	suspected duplicateresponse.Fingerprint // that of the last response, if it may be a duplicate
+	checkedAt time.Time                     // mayStart's last check
 
 	mu          sync.Mutex // guards the fields below
 	conn        *nodeConn  // which stop interrupts
@@ -182,12 +183,14 @@
 
 // mayStart checks again, at the moment at which the query is written. Since the decision the attempt may
 // have waited for a descriptor and for a dial; without this check it is sent although its client or its
-// compute node has gone, or its time or the retry budget is used up.
+// compute node has gone, or its time or the retry budget is used up. The check holds for startCheckTTL.
 func (a *attempt) mayStart() (computenode.EventType, bool) {
 	if mutantEnabled(mutantNoStartRecheck) {
+		a.checkedAt = time.Now()
 		return 0, true
 	}
-	if !a.service.frontend.clientWaiting(a.request, a.startBy) {
+	var waiting bool
+	if a.checkedAt, waiting = a.service.frontend.clientWaiting(a.request, a.startBy); !waiting {
 		a.service.events.Add(a.event(eventlog.AttemptWithheld, "client gone"))
 		return computenode.NotNeeded, false
 	}
--- a/internal/platform/attemptcall.go
+++ b/internal/platform/attemptcall.go
@@ -37,13 +37,18 @@
 		if step.Type != computenode.Delete && !a.attach(conn) {
 			return computenode.Event{Type: computenode.Unreachable}, conn
 		}
+		conn.writeBy = time.Time{}
 		if step.Type == computenode.Start {
 			if why, ok := a.mayStart(); !ok {
 				return computenode.Event{Type: why}, conn
 			}
+			conn.writeBy = a.checkedAt.Add(startCheckTTL)
 		}
 		reused, sentAt := !conn.idleSince.IsZero(), time.Now()
 		response, err := a.call(step, conn)
+		if errors.Is(err, errChecksExpired) {
+			continue
+		}
 		if err == nil && a.acceptResponse(conn, time.Since(sentAt), response) {
 			return computenode.Event{Type: computenode.ResponseReceived, Response: response}, conn
 		}
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -127,18 +127,21 @@
 	return f.registry.Lookup(id)
 }
 
-// clientWaiting reports whether a request's client still waits for it, by a time at the latest. What is in the
-// client's socket, or was read and not handled yet, may cancel the request: after a pause of the process a
-// cancel may be read after the attempt that it forbids is due. So the client's reader handles that first.
-func (f *frontend) clientWaiting(request *thriftserver.Request, by time.Time) bool {
+// clientWaiting reports whether a request's client still waits for it, and when that was checked: by a time at
+// the latest. What is in the client's socket, or was read and not handled yet, may cancel the request: after a
+// pause of the process a cancel may be read after the attempt that it forbids is due. So the client's reader
+// handles that first.
+func (f *frontend) clientWaiting(request *thriftserver.Request, by time.Time) (checkedAt time.Time,
+	waiting bool) {
 	if mutantEnabled(mutantNoClientCheck) {
-		return f.request(request.ID) != nil
+		return time.Now(), f.request(request.ID) != nil
 	}
 	look := clientLook{frontend: f, request: request}
 	for {
+		checkedAt = time.Now()
 		waiting, handled := look.once()
-		if !waiting || handled || !time.Now().Before(by) {
-			return waiting
+		if !waiting || handled || !checkedAt.Before(by) {
+			return checkedAt, waiting
 		}
 		time.Sleep(peekRetryInterval)
 	}
--- a/internal/platform/nodeconn.go
+++ b/internal/platform/nodeconn.go
@@ -17,6 +17,12 @@
 // responseBufferBytes is the size of a connection's buffer for responses. A head has to fit.
 const responseBufferBytes = 4 << 10
 
+// startCheckTTL is how long the checks before a query is sent hold: a pause of the process may follow them.
+const startCheckTTL = 2 * time.Millisecond
+
+// errChecksExpired is the error of a call that was not written because the checks before it are too old.
+var errChecksExpired = errors.New("platform: checked too long ago, nothing was written")
+
 // errNotWritten is the error of a call of which nothing was written: its compute node can't have it.
 var errNotWritten = errors.New("platform: connection in doubt, nothing was written")
 
@@ -32,7 +38,8 @@
 	reader           *bufio.Reader
 	idleSince        time.Time // when its last response was complete; zero: it is new
 	writeBuffer      []byte
-	awaitingResponse bool // a call was written and has no complete response
+	writeBy          time.Time // the next call must not be written later; zero: at any time
+	awaitingResponse bool      // a call was written and has no complete response
 	recentResponses  duplicateresponse.History
 	failureSeen      bool // a rejection or an error came on it: a late copy of that may follow
 
@@ -101,13 +108,16 @@
 //
 // Where a write fails after a part of the request, its compute node may run the query, and the error says
 // nothing about it. Where the system accepted not one byte, as on a connection that was closed at this
-// moment, nothing runs and the error is errNotWritten.
+// moment, nothing runs and the error is errNotWritten. After writeBy nothing is written: errChecksExpired.
 func (c *nodeConn) roundTrip(timeout time.Duration, method, path string, body []byte,
 	headers ...string) (*nodehttp.Response, error) {
 	if !c.idleSince.IsZero() && !c.usable() || !c.setTimeout(timeout) {
 		return nil, errNotWritten
 	}
 	c.writeBuffer = nodehttp.AppendRequest(c.writeBuffer[:0], method, path, c.addr, body, headers...)
+	if !c.writeBy.IsZero() && time.Now().After(c.writeBy) {
+		return nil, errChecksExpired
+	}
 	c.awaitingResponse = true
 	if n, err := c.conn.Write(c.writeBuffer); err != nil {
 		if n == 0 {
--- a/internal/platform/nodepool.go
+++ b/internal/platform/nodepool.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -209,7 +208,7 @@
 	conn, err := p.system.dial(ctx, p.connectTimeout, wanted.addr)
 	var raw syscall.RawConn
 	if err == nil {
-		raw, err = conn.(*net.TCPConn).SyscallConn()
+		raw, err = conn.(syscall.Conn).SyscallConn()
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/platform/stall_test.go
+++ b/internal/platform/stall_test.go
@@ -1,6 +1,8 @@
 package platform
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -8,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"cresspass/internal/protocol/thrift"
 )
 
 // TestSuspendedProcess: what came while the process did not run has less time than it says, on connections
@@ -118,3 +122,82 @@
 		t.Errorf("%d of %d answers were polled", n, queries)
 	}
 }
+
+// stallPoint is where connections stall: those to an address.
+type stallPoint struct {
+	addr  string
+	stall func()
+}
+
+// stallingConn stalls after the checks before a call and before its request is written.
+type stallingConn struct {
+	*net.TCPConn
+	stall func()
+}
+
+func (c *stallingConn) SetDeadline(at time.Time) error {
+	c.stall()
+	return c.TCPConn.SetDeadline(at)
+}
+
+// TestStallBeforeWrite guards against a query that was written after its client had left or its compute node
+// had begun to drain, and told too long a deadline: the process did not run between the checks and the write.
+func TestStallBeforeWrite(t *testing.T) {
+	const stalled, slack = 200, 60 // milliseconds
+	for name, test := range map[string]struct {
+		meanwhile func(h *harness, client *testClient, seq int32)
+		sent      int
+	}{
+		"nothing": {func(*harness, *testClient, int32) {}, 1},
+		"closes":  {func(_ *harness, client *testClient, _ int32) { client.conn.Close() }, 0},
+		"cancels": {func(_ *harness, client *testClient, seq int32) {
+			client.conn.Write(thrift.CancelRequest{TargetSeq: seq}.Append(nil, 99))
+		}, 0},
+		"drains": {func(h *harness, _ *testClient, _ int32) {
+			h.discovery.add(false, "s-1", serverAddr(h.node.Server), "draining")
+		}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var point atomic.Pointer[stallPoint]
+			withSystem(t, func(s *system) {
+				dial := s.dial
+				s.dial = func(ctx context.Context, timeout time.Duration, addr string) (net.Conn, error) {
+					conn, err := dial(ctx, timeout, addr)
+					at := point.Load()
+					if err != nil || at == nil || addr != at.addr {
+						return conn, err
+					}
+					return &stallingConn{conn.(*net.TCPConn), at.stall}, nil
+				}
+			})
+			var sentMS atomic.Int64
+			h := newHarnessWith(t, 256, `"may-probe":true`, `"may-probe":false`)
+			h.node.setHandler(func(_ http.ResponseWriter, q *http.Request, call, _ string) bool {
+				if call == "POST" {
+					ms, _ := strconv.ParseInt(q.Header.Get("X-Max-Ms"), 10, 64)
+					sentMS.Store(ms)
+				}
+				return false
+			})
+			client := h.dial()
+			begun, resume := make(chan struct{}), make(chan struct{})
+			point.Store(&stallPoint{addr: serverAddr(h.node.Server),
+				stall: sync.OnceFunc(func() { close(begun); <-resume })})
+			seq := client.send(requestFields(ticket(1), "quick", "2000"))
+			<-begun
+			resumeLoop := h.pauseLoop() // the core learns of it after the attempt
+			test.meanwhile(h, client, seq)
+			time.Sleep(stalled * time.Millisecond)
+			close(resume)
+			time.Sleep(20 * time.Millisecond)
+			resumeLoop()
+			eventually(t, "the attempt ends", func() bool { return h.attemptCount() == 0 })
+			if n := h.node.callCount("POST"); n != test.sent {
+				t.Errorf("%d queries sent, want %d", n, test.sent)
+			}
+			if ms := sentMS.Load(); ms > 2000-stalled+slack {
+				t.Errorf("sent with %d ms of 2000 after a stall of %d", ms, stalled)
+			}
+		})
+	}
+}
