--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -31,6 +31,7 @@
 
 	mu          sync.Mutex
 	queue       []cresspass.Event
+	postedAt    []time.Duration // of the events in queue
 	inspections []func(*Core)
 	closed      bool
 
@@ -60,14 +61,19 @@
 	return max(minInterval, min(stepCostFactor*took, maxStepInterval))
 }
 
-// Post hands events to the loop, in order. After Close they are dropped, and Post returns false.
+// Post hands events to the loop, in order. A RemainingDeadline counts from now. After Close they are dropped,
+// and Post returns false.
 func (l *Loop) Post(events ...cresspass.Event) bool {
+	now := l.clock()
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
 		return false
 	}
 	l.queue = append(l.queue, events...)
+	for range events {
+		l.postedAt = append(l.postedAt, now)
+	}
 	l.mu.Unlock()
 	l.signal()
 	return true
@@ -116,17 +122,17 @@
 // Run steps the core until Close.
 func (l *Loop) Run() {
 	defer close(l.done)
-	var batch []cresspass.Event
+	var batch pendingBatch
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		events, inspections, closed := l.takePending(batch)
+		closed := l.takePending(&batch)
 		if closed {
 			return
 		}
-		batch = events
 		startedAt := l.clock()
-		took := l.step(startedAt, events, inspections)
+		batch.chargeWait(startedAt)
+		took := l.step(startedAt, &batch)
 		if next, scheduled := l.core.NextWakeup(); scheduled {
 			timer.Reset(max(next-l.clock(), 0))
 		} else {
@@ -145,24 +151,40 @@
 	}
 }
 
-// takePending returns what was posted since the last call. The queue goes on in the memory of spent, a batch
-// that was handled.
-func (l *Loop) takePending(spent []cresspass.Event) (events []cresspass.Event, inspections []func(*Core),
-	closed bool) {
+// pendingBatch is what was posted between two steps.
+type pendingBatch struct {
+	events      []cresspass.Event
+	postedAt    []time.Duration // of events
+	inspections []func(*Core)
+}
+
+// chargeWait counts the time that events waited for a step against their deadlines.
+func (b *pendingBatch) chargeWait(now time.Duration) {
+	for i := range b.events {
+		if event := &b.events[i]; event.RemainingDeadline > 0 {
+			event.RemainingDeadline -= now - b.postedAt[i]
+		}
+	}
+}
+
+// takePending fills a batch with what was posted since the last call, and reports whether the loop is closed.
+// The queue goes on in the memory of what was in the batch, which has been handled.
+func (l *Loop) takePending(batch *pendingBatch) (closed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	events, l.queue = l.queue, spent[:0]
-	inspections, l.inspections = l.inspections, nil
-	return events, inspections, l.closed
+	batch.events, l.queue = l.queue, batch.events[:0]
+	batch.postedAt, l.postedAt = l.postedAt, batch.postedAt[:0]
+	batch.inspections, l.inspections = l.inspections, nil
+	return l.closed
 }
 
 // step has the core handle a batch, carries out its outputs, and returns how long that took.
-func (l *Loop) step(now time.Duration, batch []cresspass.Event, inspections []func(*Core)) time.Duration {
-	for _, output := range l.core.Step(now, batch) {
+func (l *Loop) step(now time.Duration, batch *pendingBatch) time.Duration {
+	for _, output := range l.core.Step(now, batch.events) {
 		l.execute(&output)
 	}
-	clear(batch) // so that it keeps nothing alive while its memory waits for the next batch
-	for _, inspect := range inspections {
+	clear(batch.events) // so that it keeps nothing alive while its memory waits for the next batch
+	for _, inspect := range batch.inspections {
 		inspect(l.core)
 	}
 	took := l.clock() - now
--- a/internal/dispatch/loop_test.go
+++ b/internal/dispatch/loop_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +39,42 @@
 	}
 }
 
+// TestDeadlineCountsFromPost guards against a late answer: a process that did not run between the arrival of a
+// request and the step that takes it gave the request that time once more.
+func TestDeadlineCountsFromPost(t *testing.T) {
+	const limit, stalled = 500 * ms, 300 * ms
+	var now atomic.Int64
+	decider := &deadlineDecider{}
+	core := NewCoreWithDecider(decider, testConfig(), 0)
+	l := NewLoop(core, func() time.Duration { return time.Duration(now.Load()) }, func(*Output) {})
+	go l.Run()
+	stall, resume := make(chan struct{}), make(chan struct{})
+	go l.Inspect(func(*Core) { close(stall); <-resume })
+	<-stall
+	l.Post(cresspass.Event{Type: cresspass.QueryArrived, Query: 1, RemainingDeadline: limit})
+	now.Add(int64(stalled))
+	close(resume)
+	l.Inspect(func(*Core) {})
+	l.Close()
+	if decider.deadline != limit {
+		t.Errorf("the deadline is %v after the arrival, want %v", decider.deadline, limit)
+	}
+}
+
+// deadlineDecider records the deadline of the last query.
+type deadlineDecider struct {
+	countingDecider
+	deadline time.Duration
+}
+
+func (d *deadlineDecider) Handle(now time.Duration, events []cresspass.Event,
+	actions []cresspass.Action) []cresspass.Action {
+	for _, event := range events {
+		d.deadline = now + event.RemainingDeadline
+	}
+	return actions
+}
+
 // countingDecider only counts.
 type countingDecider struct{ steps, events int64 }
 
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -161,7 +161,6 @@
 	// Under the lock: a stall while this goroutine waited for it counts as well.
 	c.readDelay = max(c.readDelay, service.stalls.maxWait(c.emptyAt))
 	verdict := c.frontend.registry.HandleMessage(time.Now().Add(-c.readDelay), c.id, message)
-	verdict.Event.RemainingDeadline -= c.readDelay
 	c.holdsInput = c.reader.Buffered() > 0
 	c.messages++
 	if mutantEnabled(mutantNoOrderingKey) {
@@ -170,6 +169,7 @@
 	rejected := false
 	if verdict.Accepted != nil {
 		if rejected = !service.guard.admit(verdict.Accepted, verdict.Event.Key); !rejected {
+			verdict.Event.RemainingDeadline = time.Until(verdict.Accepted.Deadline)
 			// Under the lock: a cancel that follows at once must be posted after it.
 			service.loop.Post(verdict.Event)
 		}
