Soak: a process is not killed for its shutdown's length within a pause

The trace: SIGTERM at 3.65 s, a pause from 7.14 s to 7.54 s, the harness's kill at 7.35 s, that is 3.7 s after SIGTERM. The process was stopped and could not end.

Cause: the soak kills a process that has run for 3.7 s after SIGTERM, and took off only pauses that were over.

Change: pauses are intervals; the kill is due when the process has run for that long, one under way included. A pause that began before SIGTERM counts from SIGTERM on alone: before, all of it was taken off, which was too much.

--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -32,10 +32,10 @@
 	process              *exec.Cmd
 	ended                chan struct{} // closed when the process has exited
 	ready                bool
-	terminatedAt         time.Time     // SIGTERM was sent; zero: it was not
-	changing             bool          // the process is being ended or replaced
-	pausedFor            time.Duration // all its processes together
-	descriptorsFullUntil time.Time     // until then idle clients may take all its descriptors
+	terminatedAt         time.Time // SIGTERM was sent; zero: it was not
+	changing             bool      // the process is being ended or replaced
+	pauses               pauseList // of all its processes
+	descriptorsFullUntil time.Time // until then idle clients may take all its descriptors
 	clientLinkDelay      time.Duration
 	clientConns          map[*clientConn]bool
 	requests             map[string]request // by ticket
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -163,8 +163,9 @@
 	}
 	defer d.endChange()
 	d.mu.Lock()
-	process, ended, incarnation, paused := d.process, d.ended, d.incarnation, d.pausedFor
+	process, ended, incarnation := d.process, d.ended, d.incarnation
 	d.terminatedAt = time.Now()
+	terminatedAt := d.terminatedAt
 	d.mu.Unlock()
 	sendSignal(process, syscall.SIGTERM)
 	select {
@@ -173,7 +174,7 @@
 			d.fleet.oracle.addFinding(invariantCrash, "dispatcher %d life %d: exit %d after SIGTERM",
 				d.index, incarnation, code)
 		}
-	case <-d.afterRunning(exitTimeout, paused):
+	case <-d.afterRunning(terminatedAt, exitTimeout):
 		d.fleet.oracle.addFinding(invariantNotEnded, "dispatcher %d life %d, %v after SIGTERM",
 			d.index, incarnation, exitTimeout)
 		sendSignal(process, syscall.SIGKILL)
@@ -185,21 +186,6 @@
 	}
 }
 
-// afterRunning delivers the time when the process has run for wait; paused is how long its pauses had been at
-// the beginning.
-func (d *dispatcher) afterRunning(wait, paused time.Duration) <-chan time.Time {
-	over := make(chan time.Time, 1)
-	go func() {
-		time.Sleep(wait)
-		d.mu.Lock()
-		pausedSince := d.pausedFor - paused
-		d.mu.Unlock()
-		time.Sleep(pausedSince)
-		over <- time.Now()
-	}()
-	return over
-}
-
 // kill ends the process by SIGKILL, and starts another.
 func (d *dispatcher) kill() {
 	if !d.beginChange() {
@@ -276,22 +262,6 @@
 	sendSignal(process, syscall.SIGHUP)
 }
 
-// pause has the process not run for a while.
-func (d *dispatcher) pause(duration time.Duration) {
-	d.mu.Lock()
-	process, ready := d.process, d.ready
-	d.mu.Unlock()
-	if !ready {
-		return
-	}
-	sendSignal(process, syscall.SIGSTOP)
-	time.Sleep(duration)
-	sendSignal(process, syscall.SIGCONT)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.pausedFor += duration
-}
-
 // sendSignal sends a signal to a process. It fails only where the process has exited, which awaitExit
 // records.
 func sendSignal(process *exec.Cmd, signal syscall.Signal) { _ = process.Process.Signal(signal) }
