Flight: rows that an engine delivered reach the client before the error that ends them

Cause: call.WriteVerdict threw away what the call's goroutine had not taken yet. The same fault twice more in batchReader: rows that were gathered and not in a batch yet were dropped at any error, also at the engine's own, and an error in the first buffer dropped the rows beside it.

Change: after a failure what came before it is handed on, then the error. A cancel still ends the call at once. What a slow client has not taken stays within client_buffer, as before; the call ends with its context.

--- a/internal/frontend/flightsql/batches.go
+++ b/internal/frontend/flightsql/batches.go
@@ -7,6 +7,7 @@
 	"github.com/apache/arrow-go/v18/arrow"
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"cresspass/internal/frontend/flightsql/arrowbatch"
 )
@@ -27,6 +28,7 @@
 	schema   *arrowbatch.Schema  // nil: not known yet
 	builder  *arrowbatch.Builder // nil: no rows come
 	complete bool                // the response has been read to its end
+	failure  error               // it ended by an error, after rows that were not sent yet
 	batches  []arrow.RecordBatch // to be sent
 }
 
@@ -41,6 +43,10 @@
 		if err == nil {
 			err = r.handleMessages(b)
 		}
+		if err != nil && (r.hasRows() || len(r.batches) > 0) {
+			r.failure = err
+			break
+		}
 		if err != nil {
 			if r.builder != nil {
 				r.builder.Release()
@@ -113,6 +119,9 @@
 
 // sendAll reads the response to its end and sends its batches. An error of the response is sent too.
 func (r *batchReader) sendAll(ctx context.Context, spare []byte) error {
+	if r.failure != nil {
+		return r.sendError(ctx, r.failure)
+	}
 	for {
 		if err := r.sendBatches(ctx); err != nil {
 			return err
@@ -121,7 +130,7 @@
 			break
 		}
 		within := time.Duration(0)
-		if r.builder != nil && r.builder.Rows() > 0 {
+		if r.hasRows() {
 			within = batchIdleFlush
 		}
 		b, more, err := r.call.receive(ctx, spare, within)
@@ -129,11 +138,7 @@
 			err = r.handleMessages(b)
 		}
 		if err != nil {
-			select {
-			case r.chunks <- flight.StreamChunk{Err: err}:
-			case <-ctx.Done():
-			}
-			return err
+			return r.sendError(ctx, err)
 		}
 		r.complete = !more
 		if idle := len(b) == 0 && more; idle || r.complete {
@@ -145,9 +150,28 @@
 	return r.sendBatches(ctx)
 }
 
+// sendError ends the stream by an error of the response. Rows that came before it go first, but for a call
+// that was cancelled.
+func (r *batchReader) sendError(ctx context.Context, err error) error {
+	if status.Code(err) != codes.Canceled {
+		r.flushRows()
+		if sendErr := r.sendBatches(ctx); sendErr != nil {
+			return sendErr
+		}
+	}
+	select {
+	case r.chunks <- flight.StreamChunk{Err: err}:
+	case <-ctx.Done():
+	}
+	return err
+}
+
+// hasRows reports whether rows were gathered that are in no batch yet.
+func (r *batchReader) hasRows() bool { return r.builder != nil && r.builder.Rows() > 0 }
+
 // flushRows makes a batch of the rows that were gathered.
 func (r *batchReader) flushRows() {
-	if r.builder != nil && r.builder.Rows() > 0 {
+	if r.hasRows() {
 		r.batches = append(r.batches, r.builder.Batch())
 	}
 }
--- a/internal/frontend/flightsql/call.go
+++ b/internal/frontend/flightsql/call.go
@@ -140,13 +140,16 @@
 	signal(c.dataReady)
 }
 
-// WriteVerdict takes a verdict. What came before it and was not taken is dropped: the client receives the
-// verdict at once.
+// WriteVerdict takes a verdict. After a failure the client receives first what the engine sent before it;
+// any other verdict it receives at once, and what was not taken is dropped.
 func (c *call) WriteVerdict(v *verdict.Verdict) {
 	c.scope.onResponseEnded(c)
 	c.mu.Lock()
-	c.server.pendingBytes.Add(-int64(len(c.buf)))
-	c.buf, c.done, c.verdict = nil, true, v
+	if v.Kind != verdict.Failed {
+		c.server.pendingBytes.Add(-int64(len(c.buf)))
+		c.buf = nil
+	}
+	c.done, c.verdict = true, v
 	c.mu.Unlock()
 	signal(c.dataReady)
 }
@@ -208,12 +211,12 @@
 		c.mu.Unlock()
 		return nil, true, false, nil
 	}
-	if c.verdict != nil {
+	if c.verdict != nil && len(c.buf) == 0 {
 		c.mu.Unlock()
 		return nil, false, true, verdictError(c.verdict)
 	}
 	b, c.buf = c.buf, spare[:0]
-	done := c.done
+	done := c.done && c.verdict == nil
 	c.mu.Unlock()
 	c.server.pendingBytes.Add(-int64(len(b)))
 	signal(c.bufferTaken)
