An ordered query that a compute node does not know may still be on its way there

An ordered query ran at two compute nodes for 68 ms, and the next of its key beside it.

Cause, from the trace: the response to its start might be a late copy, so it was polled at once on a new connection. The poll came to the node before the start, 'no such query' (500) ended the attempt 7 ms after the start was written, and after the key's rest of 100 ms it went elsewhere.

Change: an exclusive query (ordered, keyed or unsafe) of which nothing was heard yet is polled again until its start can no longer be on its way (350 ms), as already holds for its cancel. Others go on at once as before.

TestPollOvertakesStart fails without the change.

--- a/internal/backend/computenode/machine.go
+++ b/internal/backend/computenode/machine.go
@@ -41,6 +41,7 @@
 	Exclusive bool
 
 	startedAt time.Duration
+	postedAt  time.Duration // Start was written by then
 	reachedAt time.Duration // the last time at which a Start or a Poll may have reached the compute node
 	calledAt  time.Duration // when the last call was made
 
@@ -102,7 +103,10 @@
 		m.startLost = m.startLost || m.startBroken
 		m.confirmed = m.confirmed || !m.posted || confirmsQuery(ev.Response, len(m.pages))
 	}
-	m.posted, m.reachedAt = true, now
+	if !m.posted {
+		m.posted, m.postedAt = true, now
+	}
+	m.reachedAt = now
 }
 
 // unstartedOutcome is the outcome of an attempt whose Start was never written.
@@ -138,6 +142,11 @@
 		}
 		return Step{Type: End, Outcome: cresspass.OutcomeRejected}
 	case kindFailed:
+		if m.mayStillArrive(now) {
+			m.failures++
+			delay := min(backoff(m.failures), m.arrivedBy()-now)
+			return m.poll(resp.Close, delay, Progress{})
+		}
 		if m.responseLost {
 			// The compute node is well and knows no such query: Start was lost on its way. Reported as a
 			// reset it would count against the compute node, which would be ejected and leave the others
@@ -149,6 +158,16 @@
 	return m.retry(now, true)
 }
 
+// arrivedBy is when a Start that was written is no longer on its way.
+func (m *Machine) arrivedBy() time.Duration { return m.postedAt + maxTransitTimeout }
+
+// mayStillArrive reports whether a Start of which nothing was heard may come to its compute node after a poll
+// on another connection. An exclusive query that is not known there is not over then: if it counted as over,
+// it would run beside its next attempt, or beside the next of its key.
+func (m *Machine) mayStillArrive(now time.Duration) bool {
+	return m.Exclusive && m.responseLost && !m.confirmed && now < m.arrivedBy()
+}
+
 // addPage takes a page of the result, and polls for the next one or ends.
 func (m *Machine) addPage(resp *nodehttp.Response) Step {
 	if len(m.pages) == 0 {
--- a/internal/backend/computenode/machine_test.go
+++ b/internal/backend/computenode/machine_test.go
@@ -308,3 +308,38 @@
 		}
 	}
 }
+
+// TestPollOvertakesStart guards against an ordered query that ran beside its own next attempt: a poll on a new
+// connection came to the compute node before its Start, and 'no such query' counted as the attempt's end.
+func TestPollOvertakesStart(t *testing.T) {
+	unknown := Event{Type: ResponseReceived, Response: &nodehttp.Response{Status: 500}}
+	begin := func(exclusive bool) (m *Machine, now time.Duration) {
+		m = &Machine{Exclusive: exclusive}
+		m.Next(0, Event{Type: Begin})
+		if step := m.Next(ms, Event{Type: ResponseLost}); step.Type != Poll {
+			t.Fatalf("after a lost response: %+v", step)
+		}
+		return m, 2 * ms
+	}
+	m, now := begin(true)
+	for now < ms+maxTransitTimeout {
+		step := m.Next(now, unknown)
+		if step.Type != Poll {
+			t.Fatalf("not known there after %v: %+v", now, step)
+		}
+		now += step.Delay + ms
+	}
+	if step := m.Next(now, unknown); step.Type != End || step.Outcome != cresspass.OutcomeTimedOut {
+		t.Errorf("not known there after %v: %+v", now, step)
+	}
+	m, now = begin(true)
+	m.Next(now, unknown)
+	m.Next(now+ms, Event{Type: ResponseReceived, Response: &nodehttp.Response{Status: 202}})
+	if step := m.Next(now+2*ms, unknown); step.Type != End {
+		t.Errorf("an end after it was known there: %+v", step)
+	}
+	m, now = begin(false)
+	if step := m.Next(now, unknown); step.Type != End || step.Outcome != cresspass.OutcomeTimedOut {
+		t.Errorf("a query that is not exclusive: %+v", step)
+	}
+}
