A request read long after a pause counts from its arrival, by the system's word

Requests came 14 and 22 ms into a pause of 0.4 s, were read 0.15 s after it, and their compute nodes were told 0.52 s more than was left; the clients were answered 0.5 s late.

Cause: what is read within 100 ms of a pause counts as read late, what is read after that as just received. On a full machine, with strangers' connections to accept first, reading takes longer.

Change: up to 5 s after a pause, for a connection that was not seen empty since, the kernel is asked how long ago the last bytes came (TCP_INFO), within the time since the pause began. Where it does not say, all is as before. A connection that was accepted with bytes on it counts as never seen empty.

TestReadLongAfterStall (read 250 ms after a stall of 500 ms) fails without the question in 5 of 5 plays: told 1,999 ms of 1,250.

--- a/internal/overload/stall/stall.go
+++ b/internal/overload/stall/stall.go
@@ -13,6 +13,8 @@
 	lateThreshold = 50 * time.Millisecond
 	// catchUpPeriod is how long after a stall something that came during it may still be unread.
 	catchUpPeriod = 2 * HeartbeatInterval
+	// memoryPeriod is how long after a stall a system is asked how long what is read now lay unread.
+	memoryPeriod = 5 * time.Second
 )
 
 // Detector is what the heartbeats showed. It is for one goroutine at a time.
@@ -49,3 +51,12 @@
 	}
 	return max(now-max(begin, emptyAt), 0)
 }
+
+// MaxDelay returns for how long at most something that is read now may have lain unread, if there was nothing
+// at emptyAt: since the last stall began. 0: that is long over.
+func (d *Detector) MaxDelay(now, emptyAt time.Duration) time.Duration {
+	if d.stallEnd == 0 || emptyAt >= d.stallEnd || now-d.stallEnd > memoryPeriod {
+		return 0
+	}
+	return max(now-max(d.stallBegin, emptyAt), 0)
+}
--- a/internal/overload/stall/stall_test.go
+++ b/internal/overload/stall/stall_test.go
@@ -30,4 +30,11 @@
 	m.Beat(2300 * ms)
 	m.Beat(2350 * ms)
 	want("long after a stall", 2350, 0, 0)
+	for _, test := range []struct{ now, emptyAt, want time.Duration }{
+		{2350, 0, 840}, {2350, 2100, 250}, {2350, 2200, 0}, {7201, 0, 0},
+	} {
+		if got := m.MaxDelay(test.now*ms, test.emptyAt*ms); got != test.want*ms {
+			t.Errorf("at %v, empty at %v: at most %v, want %v", test.now*ms, test.emptyAt*ms, got, test.want*ms)
+		}
+	}
 }
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -79,9 +79,11 @@
 		f.refuse(client)
 		return
 	}
-	client.emptyAt = f.service.clock()
+	now := f.service.clock()
 	if client.hasUnread() {
-		client.readDelay = max(queue.maxWait(time.Now()), f.service.stalls.maxWait(0))
+		client.readDelay = max(queue.maxWait(time.Now()), f.service.stalls.maxWait(0, client.sinceLastInput))
+	} else {
+		client.emptyAt = now
 	}
 	f.register(client)
 	go client.serve()
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -159,7 +159,7 @@
 	message := c.frontend.registry.Decode(frame)
 	c.frontend.mu.Lock()
 	// Under the lock: a stall while this goroutine waited for it counts as well.
-	c.readDelay = max(c.readDelay, service.stalls.maxWait(c.emptyAt))
+	c.readDelay = max(c.readDelay, service.stalls.maxWait(c.emptyAt, c.sinceLastInput))
 	verdict := c.frontend.registry.HandleMessage(time.Now().Add(-c.readDelay), c.id, message)
 	c.holdsInput = c.reader.Buffered() > 0
 	c.messages++
--- a/internal/platform/stall_test.go
+++ b/internal/platform/stall_test.go
@@ -93,6 +93,35 @@
 	}
 }
 
+// TestReadLongAfterStall guards against a request that was told too long a deadline: it came in a stall on a
+// connection that was accepted long after it.
+func TestReadLongAfterStall(t *testing.T) {
+	const stalled, late, slack = 500, 250, 150 // milliseconds
+	release := holdAccepts(t)
+	h := newHarness(t, 256)
+	var sentMS atomic.Int64
+	h.node.setHandler(func(_ http.ResponseWriter, q *http.Request, call, _ string) bool {
+		if call == "POST" {
+			ms, _ := strconv.ParseInt(q.Header.Get("X-Max-Ms"), 10, 64)
+			sentMS.Store(ms)
+		}
+		return false
+	})
+	h.stalls.mu.Lock()
+	client := h.dial()
+	client.send(requestFields(ticket(1), "quick", "2000"))
+	time.Sleep(stalled * time.Millisecond)
+	h.stalls.mu.Unlock()
+	time.Sleep(late * time.Millisecond)
+	release()
+	if got := client.receive(); got.kind != "answer" {
+		t.Errorf("%+v", got)
+	}
+	if ms := sentMS.Load(); ms > 2000-stalled-late+slack || ms < 2000-stalled-late-400 {
+		t.Errorf("sent with %d ms of 2000, %d ms after it came", ms, stalled+late)
+	}
+}
+
 // TestResponseArrivesWhileSuspended: an answer that came while the process did not run is read, however long
 // ago its time-out was; nothing is polled again.
 func TestResponseArrivesWhileSuspended(t *testing.T) {
--- a/internal/platform/stallmonitor.go
+++ b/internal/platform/stallmonitor.go
@@ -39,11 +39,18 @@
 }
 
 // maxWait returns how long something that is read now may have been in its socket, which was empty at a time.
-func (s *stallMonitor) maxWait(emptyAt time.Duration) time.Duration {
+// Where a stall may be the reason that it is read late, the system is asked.
+func (s *stallMonitor) maxWait(emptyAt time.Duration, measure func() time.Duration) time.Duration {
 	if mutantEnabled(mutantNoStallDetection) {
 		return 0
 	}
+	now := s.clock()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.detector.ReadDelay(s.clock(), emptyAt)
+	delay := s.detector.ReadDelay(now, emptyAt)
+	limit := s.detector.MaxDelay(now, emptyAt)
+	s.mu.Unlock()
+	if limit <= delay {
+		return delay
+	}
+	return max(delay, min(measure(), limit))
 }
