--- a/internal/platform/clientread.go
+++ b/internal/platform/clientread.go
@@ -7,10 +7,9 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"cresspass/internal/oserr"
 	"cresspass/internal/protocol/thrift"
+	"cresspass/internal/tcpinfo"
 )
 
 const (
@@ -146,17 +145,7 @@
 }
 
 // sinceLastInput is how long ago the system received the last bytes on the connection; 0: it does not say.
-func (c *clientConn) sinceLastInput() time.Duration {
-	var info *unix.TCPInfo
-	var infoErr error
-	err := c.raw.Control(func(fd uintptr) {
-		info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	if errors.Join(err, infoErr) != nil {
-		return 0
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
-}
+func (c *clientConn) sinceLastInput() time.Duration { return tcpinfo.SinceData(c.raw) }
 
 // hasUnread reports whether something may be there to be read.
 func (c *clientConn) hasUnread() bool {
