Relay: the end of a connection counts from its arrival, and from the first direction

Cause, by the tests below: the relay's end of an attempt whose connection was lost was the time at which the goroutine of the engine's direction came to read it. Where the dispatcher closed the connection, or a write to the engine failed and the relay reset the dispatcher's side, the dispatcher knew of it before.

Change: an end that the dispatcher sent has the kernel's time (TCP_INFO), and an attempt has ended with the direction that ended first. Skew and rest unchanged.

TestEndHasTimeOfArrival (200 ms late in 5 of 5 plays) and TestAttemptEndsWithFirstDirection (5 of 5) fail without the change.

--- /dev/null
+++ b/internal/rehearsal/rulecheck/arrival_test.go
@@ -0,0 +1,62 @@
+package rulecheck
+
+import (
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// Guards against an end of a connection that counts from when a goroutine came to read it.
+func TestEndHasTimeOfArrival(t *testing.T) {
+	const readLate, precision = 200 * time.Millisecond, 50 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	peer, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	reader, err := newArrivalReader(conn.(*net.TCPConn))
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer.Write([]byte("x"))
+	if n, _, err := reader.Read(make([]byte, 8)); n != 1 || err != nil {
+		t.Fatal(n, err)
+	}
+	time.Sleep(readLate)
+	before := time.Now()
+	peer.Close()
+	after := time.Now()
+	time.Sleep(readLate)
+	_, arrived, err := reader.Read(make([]byte, 8))
+	if !errors.Is(err, io.EOF) || arrived.Before(before.Add(-precision)) || arrived.After(after.Add(precision)) {
+		t.Errorf("%v, %v after the end", err, arrived.Sub(after))
+	}
+}
+
+// Guards against an attempt that counts as running after its connection ended: either direction may end first.
+func TestAttemptEndsWithFirstDirection(t *testing.T) {
+	first, last := time.Now(), time.Now().Add(time.Second)
+	for name, ends := range map[string]struct{ up, down time.Time }{
+		"up first":   {first, last},
+		"down first": {last, first},
+	} {
+		attempt := &Attempt{}
+		s := &stream{recorder: NewRecorder(), pending: []pendingReply{{attempt: attempt}}}
+		s.recordConnectionEnd(&tap{ended: ends.down}, &tap{ended: ends.up})
+		if !attempt.Lost || !attempt.End.Equal(first) {
+			t.Errorf("%s: ended %v after the first end, lost %v", name, attempt.End.Sub(first), attempt.Lost)
+		}
+	}
+}
--- a/internal/rehearsal/rulecheck/recorder.go
+++ b/internal/rehearsal/rulecheck/recorder.go
@@ -128,6 +128,14 @@
 	}
 }
 
+// earliest returns the earlier of two times.
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // statementTags returns the tags of a statement: of its comment, and of a first parameter such as
 // "id;name=value;...".
 func statementTags(text, first string) map[string]string {
--- a/internal/rehearsal/rulecheck/tap.go
+++ b/internal/rehearsal/rulecheck/tap.go
@@ -40,9 +40,10 @@
 	t.changed.Signal()
 }
 
-func (t *tap) end() {
+// end tells that the direction ended at a time.
+func (t *tap) end(at time.Time) {
 	t.mu.Lock()
-	t.ended = time.Now()
+	t.ended = at
 	t.mu.Unlock()
 	t.changed.Signal()
 }
