Soak: a finding's trace has the calls, the connection's end, whose rows, and the machine's lag

Now its trace holds, by time: each call on the links to compute nodes (start, poll with its page, cancel, and the connection), runs, answers, and when the soak itself ran 20 ms or more late; and when the run began, to match the dispatchers' logs. served_other says whose rows were served, lost by what error the connection ended. No check changed.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -197,7 +197,7 @@
 	for {
 		frame, err := readFrame(in)
 		if err != nil {
-			c.connectionEnded()
+			c.connectionEnded(err)
 			return
 		}
 		a, err := parseAnswer(frame)
@@ -244,9 +244,9 @@
 	})
 }
 
-// connectionEnded handles a connection that the dispatcher closed. Where nothing but requests that crossed
+// connectionEnded handles a connection that the dispatcher closed, by the error of the last read. Where nothing but requests that crossed
 // the close was open, these are sent again, once, on a new connection.
-func (c *clientConn) connectionEnded() {
+func (c *clientConn) connectionEnded(by error) {
 	now := time.Now()
 	c.mu.Lock()
 	closedByClient := c.closed
@@ -268,7 +268,7 @@
 		}
 		excused := onlyCrossing && (c.dispatcher.terminating() || c.dispatcher.descriptorsMayBeFull())
 		c.dispatcher.fleet.oracle.updateRequest(ticket, func(r *observedRequest) {
-			r.connectionEndedAt = now
+			r.connectionEndedAt, r.connectionEndedBy = now, by.Error()
 			if excused && r.excused == "" {
 				r.excused = excuseCrossedClose
 			}
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -92,10 +92,15 @@
 	return fmt.Sprintf("127.%d.%d.%d:%d", 10+pid%200, 1+pid/200%200, 1+dispatcher, firstPort+run)
 }
 
-// observe parses what the dispatcher writes to a compute node and records the starts of queries.
+// observe parses what the dispatcher writes to a compute node and records calls and the starts of queries.
 func (d *dispatcher) observe(node, connection int, now time.Time, b []byte) {
 	parser, _ := d.parsers.LoadOrStore(exchangeKey{node, connection}, &callParser{})
 	for _, c := range parser.(*callParser).feed(now, b) {
+		if c.ticket == "" {
+			continue // a health check
+		}
+		observed := observedCall{call: c, node: node, connection: connection}
+		d.fleet.oracle.updateRequest(c.ticket, func(r *observedRequest) { r.calls = append(r.calls, observed) })
 		if c.method != "POST" {
 			continue
 		}
--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -64,6 +64,7 @@
 	f.oracle.start()
 	stopClients := make(chan struct{})
 	f.startClients(stopClients)
+	f.background.Go(func() { f.oracle.machineLags.run(stopNodes) })
 	f.injectFaults(ctx)
 	close(stopClients)
 	time.Sleep(settleTime)
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -50,8 +50,8 @@
 	if len(r.answers) == 0 {
 		if r.owedAnswer() {
 			o.addFindingLocked(invariantLost, r.ticket, r.sentAt,
-				"class %s at dispatcher %d: no answer in %v; connection ended %v",
-				r.class, r.dispatcher, r.limit, !r.connectionEndedAt.IsZero())
+				"class %s at dispatcher %d: no answer in %v; connection ended %s %s",
+				r.class, r.dispatcher, r.limit, o.sinceStart(r.connectionEndedAt), r.connectionEndedBy)
 		}
 		return
 	}
@@ -64,8 +64,8 @@
 		o.addFindingLocked(invariantLate, r.ticket, first.at, "%s %v after its time", first.kind, late)
 	}
 	if first.kind == answerServed && !slices.Contains(r.results, first.body) {
-		o.addFindingLocked(invariantServedOther, r.ticket, first.at, "%q, of %d results made",
-			first.body, len(r.results))
+		o.addFindingLocked(invariantServedOther, r.ticket, first.at, "%q, of %d results made; rows of %s",
+			first.body, len(r.results), o.rowOwners(first.body))
 	}
 }
 
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -91,9 +91,11 @@
 	answers                    []receivedAnswer
 	clientGoneAt               time.Time // its client cancelled or closed; zero: it waits
 	connectionEndedAt          time.Time // its connection ended without an answer
+	connectionEndedBy          string    // the error that ended it
 	excused                    string    // why no answer is owed; "": one is
 	malformed                  bool      // it does not raise the retry budget
 	posts                      []postedQuery
+	calls                      []observedCall
 	intervals                  []interval
 	results                    []string // that compute nodes made
 }
@@ -114,6 +116,7 @@
 	slowStarts     map[string]time.Time // starts, by the compute node's generation
 	findings       []Finding
 	hasRetryBudget bool
+	machineLags    lagMonitor
 }
 
 func newOracle(hasRetryBudget bool) *oracle {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"strings"
-	"time"
 )
 
 // Report is what a run found.
@@ -101,38 +100,3 @@
 	}
 	return counts
 }
-
-// trace returns all that was seen of a request, one event a line.
-func (o *oracle) trace(ticket string) (lines []string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	r := o.requests[ticket]
-	if r == nil {
-		return nil
-	}
-	add := func(format string, args ...any) { lines = append(lines, fmt.Sprintf(format, args...)) }
-	add("request %s of class %s, key %q, at dispatcher %d life %d: sent %s, limit %v, "+
-		"client gone %s, connection ended %s, excused %q",
-		r.ticket, r.class, r.orderingKey, r.dispatcher, r.incarnation, o.sinceStart(r.sentAt), r.limit,
-		o.sinceStart(r.clientGoneAt), o.sinceStart(r.connectionEndedAt), r.excused)
-	for _, post := range r.posts {
-		add("  started at node %d (%s) %s to %s, told %v", post.node, post.generation,
-			o.sinceStart(post.firstByteAt), o.sinceStart(post.lastByteAt), post.limit)
-	}
-	for _, attempt := range r.intervals {
-		add("  out at node %d %s to %s", attempt.node, o.sinceStart(attempt.start),
-			o.sinceStart(attempt.end))
-	}
-	for _, a := range r.answers {
-		add("  %s %s", a.kind, o.sinceStart(a.at))
-	}
-	return lines
-}
-
-// sinceStart prints a time as the seconds since the start of the run.
-func (o *oracle) sinceStart(t time.Time) string {
-	if t.IsZero() {
-		return "never"
-	}
-	return fmt.Sprintf("%.3fs", t.Sub(o.startedAt).Seconds())
-}
