Node: writes that fail count as clients that are gone, and each connection once

Seen: a client that resets its connection while answers are written counted as not_reading, which on-call reads as 'takes no answers', and each such connection two or three times.

Cause: any write that failed was recorded as not_reading; then the reader's end recorded the same connection as closed by its client.

Change: only a write that met its time limit, or output beyond its limit, is not_reading, recorded before the close and once; the reader counts the others.

TestFailedWritesAreCounted fails without the change in 10 of 10 cases (map[client:1 not_reading:2] for both).

--- a/internal/platform/clientconn_test.go
+++ b/internal/platform/clientconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"net"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -229,6 +230,37 @@
 	})
 }
 
+// TestFailedWritesAreCounted: a client that resets its connection while answers are written counts as gone,
+// one that takes nothing as not reading, and each once.
+func TestFailedWritesAreCounted(t *testing.T) {
+	for reason, end := range map[closeReason]func(client *testClient){
+		closedNotReading: func(*testClient) {},
+		closedByClient: func(client *testClient) {
+			client.conn.(*net.TCPConn).SetLinger(0)
+			client.conn.Close()
+		},
+	} {
+		t.Run(string(reason), func(t *testing.T) {
+			h := newHarness(t, 256)
+			const requests = 20
+			h.setTimeouts(clientIdleTimeout, 300*time.Millisecond)
+			h.serveLargeResults()
+			client := h.dialSmallBuffers()
+			for i := range requests {
+				client.send(requestFields(ticket(i+1), "quick", "60000"))
+			}
+			eventually(t, "all are answered", func() bool { return h.stats().Served == requests })
+			end(client)
+			eventually(t, "it is closed", func() bool { return h.frontend.connCount() == 0 })
+			h.frontend.mu.Lock()
+			defer h.frontend.mu.Unlock()
+			if counts := h.frontend.closedByReason; len(counts) != 1 || counts[reason] != 1 {
+				t.Errorf("closed by reason: %v, want %s once", counts, reason)
+			}
+		})
+	}
+}
+
 // TestPeekErrors: a peek that is interrupted, or fails for want of memory, proves nothing: a
 // request that is there is read, and no connection is closed over it.
 func TestPeekErrors(t *testing.T) {
--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -1,8 +1,12 @@
 package platform
 
 import (
+	"errors"
+	"os"
 	"syscall"
 	"time"
+
+	"cresspass/internal/frontend/thriftserver"
 )
 
 // writeChunkBytes is how much a client has to take within its write timeout.
@@ -16,9 +20,9 @@
 	c.pendingMessages += messages
 	if len(c.pending)+len(b) > maxPendingBytes {
 		c.closing = true
-		c.conn.Close()
 		c.mu.Unlock()
-		c.frontend.recordNotReading()
+		c.recordNotReading()
+		c.conn.Close()
 		return
 	}
 	if !c.flushing && len(c.pending) == 0 {
@@ -74,13 +78,32 @@
 			b = b[len(chunk):]
 			c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 			if _, err = c.conn.Write(chunk); err != nil {
-				c.conn.Close()
-				c.frontend.recordNotReading()
+				c.endAfterWriteError(err)
 			}
 		}
 	}
 }
 
+// endAfterWriteError closes the connection after a write that failed. A client that takes nothing within its
+// time is counted as such; one that is gone is counted by the reader.
+func (c *clientConn) endAfterWriteError(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.recordNotReading()
+	}
+	c.conn.Close()
+}
+
+// recordNotReading records, once and before it is closed, that the connection ends because nothing more can be
+// written to it.
+func (c *clientConn) recordNotReading() {
+	c.frontend.mu.Lock()
+	defer c.frontend.mu.Unlock()
+	if c.frontend.registry.PhaseOf(c.id) == thriftserver.Serving {
+		c.frontend.registry.Close(c.id)
+		c.frontend.recordClose(closedNotReading)
+	}
+}
+
 // recordWritten records that messages have left.
 func (c *clientConn) recordWritten(messages int) {
 	if messages > 0 {
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -78,13 +78,6 @@
 	f.service.events.Add(requestEvent(what, "", string(why)))
 }
 
-// recordNotReading records a connection that ends because nothing more can be written to it.
-func (f *frontend) recordNotReading() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recordClose(closedNotReading)
-}
-
 // closeCounts returns how many connections ended for which reason, for the log.
 func (f *frontend) closeCounts() slog.Attr {
 	f.mu.Lock()
