--- a/internal/frontend/thriftserver/message.go
+++ b/internal/frontend/thriftserver/message.go
@@ -52,12 +52,8 @@
 		return MessageResult{EndOfInput: true}
 	}
 	c.sentMessage, c.midMessage, c.lastActive = true, false, now
-	switch {
-	case m.decodeErr != nil:
-		result = undecodable(&m)
-	case m.request.Type != thrift.Call && m.request.Type != thrift.Oneway:
-		result = MessageResult{EndOfInput: true}
-	default:
+	result, readable := m.check()
+	if readable {
 		result = r.call(now, id, c, &m)
 	}
 	if result.Reply != nil {
@@ -66,15 +62,18 @@
 	return result
 }
 
-// undecodable is the result of a message that can't be read. Its client gets a reply where the header names
-// a method.
-func undecodable(m *Message) MessageResult {
-	result := MessageResult{EndOfInput: true}
-	if m.request.Name != "" {
+// check reports whether a message is a call that can be read; the result is that of one that is not. Its
+// client gets a reply where the header names a method.
+func (m *Message) check() (result MessageResult, readable bool) {
+	switch {
+	case m.decodeErr == nil:
+		readable = m.request.Type == thrift.Call || m.request.Type == thrift.Oneway
+	case m.request.Name != "":
 		result.Reply = thrift.ApplicationException{Method: m.request.Name, Type: thrift.ProtocolError,
 			Text: m.decodeErr.Error()}.Append(nil, m.request.Seq)
 	}
-	return result
+	result.EndOfInput = !readable
+	return result, readable
 }
 
 // call handles a call of one of the methods.
@@ -106,18 +105,17 @@
 // RejectMessage takes a message on a connection for which there is no capacity, and which the registry does
 // not hold. A request is rejected; all else is answered as on any connection.
 func (r *Registry) RejectMessage(m Message) MessageResult {
-	req := &m.request
-	switch {
-	case m.decodeErr != nil:
-		return undecodable(&m)
-	case req.Type != thrift.Call && req.Type != thrift.Oneway:
-		return MessageResult{EndOfInput: true}
-	case req.Name == thrift.MethodDispatch:
+	result, readable := m.check()
+	if !readable {
+		return result
+	}
+	switch m.request.Name {
+	case thrift.MethodDispatch:
 		return r.reject(&m)
-	case req.Name == thrift.MethodCancelRequest:
+	case thrift.MethodCancelRequest:
 		return MessageResult{} // nothing is open
 	}
-	return MessageResult{Reply: r.otherReply(req)}
+	return MessageResult{Reply: r.otherReply(&m.request)}
 }
 
 // dispatch handles a query.
