Requests beyond the capacity are answered also where a pause outlasts their time

The dispatcher's log says 'request rejected', 2 ms after a pause of 0.4 s; its client had the end of the connection and no answer.

Cause: a connection beyond the capacity had 0.3 s for all, reading and writing. What was there after that time was read, and its reply met the old deadline; a further message was not looked at.

Change: each reply has that time from its write, and up to 64 messages that are there are answered after the time as well.

--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -93,8 +93,8 @@
 	c.conn.Close()
 }
 
-// recordNotReading records, once and before it is closed, that the connection ends because nothing more can be
-// written to it.
+// recordNotReading records, once and before it is closed, that the connection ends because nothing more can
+// be written to it.
 func (c *clientConn) recordNotReading() {
 	c.frontend.mu.Lock()
 	defer c.frontend.mu.Unlock()
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -6,8 +6,11 @@
 	// maxOverflowConns is how many connections beyond the capacity are read at once. Their descriptors are
 	// among the reserved ones.
 	maxOverflowConns = 8
-	// overflowTimeout is how long messages on such a connection have to come whole, and replies to be taken.
+	// overflowTimeout is how long messages on such a connection have to come whole, and a reply to be taken.
 	overflowTimeout = 300 * time.Millisecond
+	// minOverflowMessages is how many messages are answered also after that time, if they are there: a pause
+	// of the process may outlast it.
+	minOverflowMessages = 64
 	// overflowLinger is how long a client has to close such a connection, once it is half-closed.
 	overflowLinger = 50 * time.Millisecond
 )
@@ -32,9 +35,9 @@
 // are small enough for the socket's buffer; where a client takes none of them, the time ends it.
 func (c *clientConn) rejectMessages() {
 	deadline := time.Now().Add(overflowTimeout)
-	c.conn.SetDeadline(deadline)
+	c.conn.SetReadDeadline(deadline)
 	var frame []byte
-	for time.Now().Before(deadline) {
+	for handled := 0; handled < minOverflowMessages || time.Now().Before(deadline); handled++ {
 		var err error
 		if frame, err = c.readFrame(frame); err != nil || !c.rejectMessage(frame) {
 			break
@@ -58,6 +61,7 @@
 	if result.Reply == nil {
 		return !result.EndOfInput
 	}
+	c.conn.SetWriteDeadline(time.Now().Add(overflowTimeout))
 	_, err := c.conn.Write(result.Reply)
 	return err == nil && !result.EndOfInput
 }
--- a/internal/platform/overflow_test.go
+++ b/internal/platform/overflow_test.go
@@ -111,3 +111,35 @@
 		t.Errorf("%+v", got)
 	}
 }
+
+// TestOverflowOutlastsPause guards against lost requests: the time to answer a connection beyond the capacity
+// was over after a pause of the process, and its reply was not written.
+func TestOverflowOutlastsPause(t *testing.T) {
+	const clients, sockets = 60, 48
+	release := holdAccepts(t)
+	h := newHarness(t, sockets)
+	h.node.runForEver()
+	for n := range clients {
+		h.dial().send(requestFields(ticket(n+1), "quick", "60000"))
+	}
+	release()
+	eventually(t, "those beyond the capacity are answered", func() bool {
+		return h.frontend.openRequests() > 0 && h.evictedClients.Load() > 0 && len(h.frontend.overflow) == 0
+	})
+	message := requestMessage(clients+1, 1)
+	h.frontend.mu.Lock() // nothing is accepted until its first half is there
+	late := h.dial()
+	late.conn.Write(message[:len(message)/2])
+	time.Sleep(20 * time.Millisecond)
+	h.frontend.mu.Unlock()
+	eventually(t, "it is read", func() bool { return len(h.frontend.overflow) == 1 })
+	h.frontend.mu.Lock()
+	late.conn.Write(append(message[len(message)/2:], requestMessage(clients+2, 2)...))
+	time.Sleep(overflowTimeout + 50*time.Millisecond)
+	h.frontend.mu.Unlock()
+	for range 2 {
+		if got := late.receive(); got.kind != "shed" {
+			t.Errorf("%+v", got)
+		}
+	}
+}
