--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -24,7 +24,7 @@
 	{"."}, // the decision module
 	{"protocol/...", "netlisten", "timingwheel", "oserr", "tcpinfo", "daemon/signals", "daemon/lifecycle"},
 	// These import nothing of this module.
-	{"elfcheck", "goldentest", "knownred", "layers", "experiments", "rehearsals"},
+	{"elfcheck", "goldentest", "tcptest", "knownred", "layers", "experiments", "rehearsals"},
 }
 
 // layerOf returns the index of a package's group, or -1 where no entry fits.
--- a/internal/platform/eviction_test.go
+++ b/internal/platform/eviction_test.go
@@ -1,11 +1,11 @@
 package platform
 
 import (
-	"net"
 	"testing"
 	"time"
 
 	"cresspass/internal/protocol/thrift"
+	"cresspass/internal/tcptest"
 )
 
 // requestMessage is a request as a client writes it.
@@ -43,21 +43,8 @@
 // its reader held a second message, which came in one segment with the first.
 func TestClosesSpareBufferedMessage(t *testing.T) {
 	h := newHarness(t, 256)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	peer, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	accepted, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	client, err := newClientConn(h.frontend, accepted.(*net.TCPConn))
+	accepted, peer := tcptest.Pair(t)
+	client, err := newClientConn(h.frontend, accepted)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/rehearsal/rulecheck/arrival_test.go
+++ b/internal/rehearsal/rulecheck/arrival_test.go
@@ -3,30 +3,17 @@
 import (
 	"errors"
 	"io"
-	"net"
 	"testing"
 	"time"
+
+	"cresspass/internal/tcptest"
 )
 
 // Guards against an end of a connection that counts from when a goroutine came to read it.
 func TestEndHasTimeOfArrival(t *testing.T) {
 	const readLate, precision = 200 * time.Millisecond, 50 * time.Millisecond
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	peer, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	conn, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	reader, err := newArrivalReader(conn.(*net.TCPConn))
+	conn, peer := tcptest.Pair(t)
+	reader, err := newArrivalReader(conn)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/tcpinfo/tcpinfo_test.go
+++ b/internal/tcpinfo/tcpinfo_test.go
@@ -1,31 +1,18 @@
 package tcpinfo
 
 import (
-	"net"
-	"syscall"
 	"testing"
 	"time"
+
+	"cresspass/internal/tcptest"
 )
 
 // TestSince: how long ago bytes, and then the end, came counts from their arrival, however late they are
 // read.
 func TestSince(t *testing.T) {
 	const wait, slack = 200 * time.Millisecond, 20 * time.Millisecond
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	peer, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	raw, err := conn.(syscall.Conn).SyscallConn()
+	conn, peer := tcptest.Pair(t)
+	raw, err := conn.SyscallConn()
 	if err != nil {
 		t.Fatal(err)
 	}
