A late copy in place of the response to a start does not show that the start arrived

An ordered query ran at node 0 from 2.310 s and at node 4 from 2.420 s.

Cause, from the trace: start written at 2.298 s, polled on another connection at 2.304 s without a word of a suspected copy, ended as timed out. The response to the start was that of no start (invalid for it), and any response to a start counted as showing that the query was there, so 'no such query' ended it.

Change: an invalid response to a start shows as little as a lost one.

TestPollOvertakesStart has the case now, which fails without the change.

--- a/internal/backend/computenode/machine.go
+++ b/internal/backend/computenode/machine.go
@@ -95,11 +95,11 @@
 	if m.cancelling { // the call was a Delete, which shows nothing of the query
 		return
 	}
-	if ev.Type == ResponseLost {
-		if !m.posted {
-			m.startBroken, m.startLost = true, !ev.Reset
-		}
-	} else {
+	switch {
+	case !m.posted && (ev.Type == ResponseLost || classify(ev.Response, 0) == kindInvalid):
+		// An invalid response may be a late copy of an earlier one, and shows as little as one that was lost.
+		m.startBroken, m.startLost = true, !ev.Reset
+	case ev.Type == ResponseReceived:
 		m.startLost = m.startLost || m.startBroken
 		m.confirmed = m.confirmed || !m.posted || confirmsQuery(ev.Response, len(m.pages))
 	}
--- a/internal/backend/computenode/machine_test.go
+++ b/internal/backend/computenode/machine_test.go
@@ -313,32 +313,36 @@
 // new connection came to the compute node before its Start, and 'no such query' counted as the attempt's end.
 func TestPollOvertakesStart(t *testing.T) {
 	unknown := Event{Type: ResponseReceived, Response: &nodehttp.Response{Status: 500}}
-	begin := func(exclusive bool) (m *Machine, now time.Duration) {
+	lost := Event{Type: ResponseLost}
+	invalid := Event{Type: ResponseReceived, Response: &nodehttp.Response{Status: 204}}
+	begin := func(exclusive bool, toStart Event) (m *Machine, now time.Duration) {
 		m = &Machine{Exclusive: exclusive}
 		m.Next(0, Event{Type: Begin})
-		if step := m.Next(ms, Event{Type: ResponseLost}); step.Type != Poll {
-			t.Fatalf("after a lost response: %+v", step)
+		if step := m.Next(ms, toStart); step.Type != Poll {
+			t.Fatalf("after the response to Start: %+v", step)
 		}
 		return m, 2 * ms
 	}
-	m, now := begin(true)
-	for now < ms+maxTransitTimeout {
-		step := m.Next(now, unknown)
-		if step.Type != Poll {
-			t.Fatalf("not known there after %v: %+v", now, step)
+	for name, toStart := range map[string]Event{"lost": lost, "a copy of another": invalid} {
+		m, now := begin(true, toStart)
+		for now < ms+maxTransitTimeout {
+			step := m.Next(now, unknown)
+			if step.Type != Poll {
+				t.Fatalf("%s, not known there after %v: %+v", name, now, step)
+			}
+			now += step.Delay + ms
+		}
+		if step := m.Next(now, unknown); step.Type != End || step.Outcome != cresspass.OutcomeTimedOut {
+			t.Errorf("%s, not known there after %v: %+v", name, now, step)
 		}
-		now += step.Delay + ms
-	}
-	if step := m.Next(now, unknown); step.Type != End || step.Outcome != cresspass.OutcomeTimedOut {
-		t.Errorf("not known there after %v: %+v", now, step)
 	}
-	m, now = begin(true)
+	m, now := begin(true, lost)
 	m.Next(now, unknown)
 	m.Next(now+ms, Event{Type: ResponseReceived, Response: &nodehttp.Response{Status: 202}})
 	if step := m.Next(now+2*ms, unknown); step.Type != End {
 		t.Errorf("an end after it was known there: %+v", step)
 	}
-	m, now = begin(false)
+	m, now = begin(false, lost)
 	if step := m.Next(now, unknown); step.Type != End || step.Outcome != cresspass.OutcomeTimedOut {
 		t.Errorf("a query that is not exclusive: %+v", step)
 	}
