Requests of the first of two pauses in a row count from their arrival too

The request came in a pause from 2.10 s to 2.50 s and was read after a second one, from 2.53 s to 2.93 s.

Cause: what is read late is charged back to the beginning of the last pause at most, also where the kernel says more.

Change: the kernel's word holds back to the first of pauses that followed one another within 5 s. TestReadDelay has the case.

--- a/internal/overload/stall/stall.go
+++ b/internal/overload/stall/stall.go
@@ -21,6 +21,7 @@
 type Detector struct {
 	lastBeat             time.Duration
 	stallBegin, stallEnd time.Duration // of the last stall
+	seriesBegin          time.Duration // of the stalls that followed one another within memoryPeriod
 }
 
 // NewDetector returns a Detector of a process that runs at now.
@@ -29,6 +30,9 @@
 // Beat takes in a heartbeat.
 func (d *Detector) Beat(now time.Duration) {
 	if d.isLate(now) {
+		if d.stallEnd == 0 || d.lastBeat-d.stallEnd > memoryPeriod {
+			d.seriesBegin = d.lastBeat
+		}
 		d.stallBegin, d.stallEnd = d.lastBeat, now
 	}
 	d.lastBeat = now
@@ -53,10 +57,10 @@
 }
 
 // MaxDelay returns for how long at most something that is read now may have lain unread, if there was nothing
-// at emptyAt: since the last stall began. 0: that is long over.
+// at emptyAt: since the first of the last stalls began. 0: they are long over.
 func (d *Detector) MaxDelay(now, emptyAt time.Duration) time.Duration {
 	if d.stallEnd == 0 || emptyAt >= d.stallEnd || now-d.stallEnd > memoryPeriod {
 		return 0
 	}
-	return max(now-max(d.stallBegin, emptyAt), 0)
+	return max(now-max(d.seriesBegin, emptyAt), 0)
 }
--- a/internal/overload/stall/stall_test.go
+++ b/internal/overload/stall/stall_test.go
@@ -30,11 +30,16 @@
 	m.Beat(2300 * ms)
 	m.Beat(2350 * ms)
 	want("long after a stall", 2350, 0, 0)
-	for _, test := range []struct{ now, emptyAt, want time.Duration }{
-		{2350, 0, 840}, {2350, 2100, 250}, {2350, 2200, 0}, {7201, 0, 0},
-	} {
-		if got := m.MaxDelay(test.now*ms, test.emptyAt*ms); got != test.want*ms {
-			t.Errorf("at %d, empty at %d: at most %v, want %d ms", test.now, test.emptyAt, got, test.want)
+	wantMax := func(now, emptyAt, most time.Duration) {
+		t.Helper()
+		if got := m.MaxDelay(now*ms, emptyAt*ms); got != most*ms {
+			t.Errorf("at %d, empty at %d: at most %v, want %d ms", now, emptyAt, got, most)
 		}
 	}
+	wantMax(2350, 0, 840)
+	wantMax(2350, 2100, 250)
+	wantMax(2350, 2200, 0)
+	wantMax(7201, 0, 0)
+	m.Beat(2800 * ms) // a second stall soon after: what came in the first may still be unread
+	wantMax(2850, 0, 1340)
 }
