A pause soon after another prolongs it: what came in the first may still be unread

Several requests on connections of a crowd came in a pause from 2.10 s to 2.50 s and were read after the next, from 2.53 s to 2.93 s, with others that came in the second: the kernel tells only when the last bytes came.

Cause: what is read within 0.1 s of a pause is taken to have come at its beginning, but a second pause within that time began anew.

Change: a pause that begins within 0.1 s of the end of another prolongs it. TestReadDelay has the case, which fails without the change.

--- a/internal/overload/stall/stall.go
+++ b/internal/overload/stall/stall.go
@@ -20,7 +20,7 @@
 // Detector is what the heartbeats showed. It is for one goroutine at a time.
 type Detector struct {
 	lastBeat             time.Duration
-	stallBegin, stallEnd time.Duration // of the last stall
+	stallBegin, stallEnd time.Duration // of the last stall; one that follows within catchUpPeriod prolongs it
 	seriesBegin          time.Duration // of the stalls that followed one another within memoryPeriod
 }
 
@@ -33,11 +33,19 @@
 		if d.stallEnd == 0 || d.lastBeat-d.stallEnd > memoryPeriod {
 			d.seriesBegin = d.lastBeat
 		}
-		d.stallBegin, d.stallEnd = d.lastBeat, now
+		d.stallBegin, d.stallEnd = d.lateSince(), now
 	}
 	d.lastBeat = now
 }
 
+// lateSince is when a stall began that is noticed now.
+func (d *Detector) lateSince() time.Duration {
+	if d.stallEnd != 0 && d.lastBeat-d.stallEnd <= catchUpPeriod {
+		return d.stallBegin
+	}
+	return d.lastBeat
+}
+
 // isLate reports whether a heartbeat that comes only now is late.
 func (d *Detector) isLate(now time.Duration) bool {
 	return now-d.lastBeat > HeartbeatInterval+lateThreshold
@@ -46,7 +54,7 @@
 // ReadDelay returns how long something that is read now may have lain unread, if there was nothing at
 // emptyAt.
 func (d *Detector) ReadDelay(now, emptyAt time.Duration) time.Duration {
-	begin := d.lastBeat // of a stall that may go on
+	begin := d.lateSince() // of a stall that may go on
 	if !d.isLate(now) {
 		if d.stallEnd == 0 || emptyAt >= d.stallEnd || now-d.stallEnd > catchUpPeriod {
 			return 0
--- a/internal/overload/stall/stall_test.go
+++ b/internal/overload/stall/stall_test.go
@@ -42,4 +42,9 @@
 	wantMax(7201, 0, 0)
 	m.Beat(2800 * ms) // a second stall soon after: what came in the first may still be unread
 	wantMax(2850, 0, 1340)
+	want("after a stall soon after another", 2850, 0, 500)
+	m.Beat(2850 * ms)
+	m.Beat(3200 * ms)
+	want("after a stall at once after another", 3210, 0, 860)
+	want("in a third at once after these", 3600, 0, 1250)
 }
