Relay: a cancel request counts also where it is decoded before its statement

Where its decoder came first, it found no attempt, and was recorded nowhere; the attempt then counted as running until its connection ended.

Change: cancel requests are kept, and recorded by their times once all is decoded. Skew, rest and rules unchanged.

--- a/internal/rehearsal/rulecheck/recorder.go
+++ b/internal/rehearsal/rulecheck/recorder.go
@@ -1,7 +1,6 @@
 package rulecheck
 
 import (
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +19,7 @@
 	statements statementCache
 	maxLag     time.Duration // the longest time from a byte's arrival to its decoding
 	unreadable []string      // streams that could not be decoded
+	cancels    []cancelRequest
 	pending    sync.WaitGroup
 }
 
@@ -60,6 +60,7 @@
 	}
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
+	rec.applyCancels()
 	out := rec.log
 	if timedOut {
 		out.Unjudged = append(out.Unjudged, "the relays' bytes were not decoded in time")
@@ -97,17 +98,40 @@
 	rec.log.Attempts = append(rec.log.Attempts, a)
 }
 
-// recordCancel records a cancel request on the engines' side against the attempt that runs on its connection.
+// cancelRequest is a cancel request that came on the engines' side. It has a connection of its own, so that
+// it may be decoded before the statement that it cancels.
+type cancelRequest struct {
+	engine string
+	pid    uint32
+	at     time.Time
+}
+
+// recordCancel records a cancel request on the engines' side.
 func (rec *Recorder) recordCancel(side Side, name string, pid uint32, at time.Time) {
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
 	if side != Engines {
 		return
 	}
-	for _, a := range slices.Backward(rec.log.Attempts) {
-		if a.Engine == name && a.PID == pid && a.End.IsZero() {
-			a.Cancel = at
-			return
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.cancels = append(rec.cancels, cancelRequest{name, pid, at})
+}
+
+// applyCancels records each cancel request against the attempt that ran on its connection at its time. The
+// caller holds rec.mu; all has been decoded.
+func (rec *Recorder) applyCancels() {
+	for _, cancel := range rec.cancels {
+		var target *Attempt
+		for _, a := range rec.log.Attempts {
+			if a.Engine != cancel.engine || a.PID != cancel.pid || a.At.After(cancel.at) {
+				continue
+			}
+			ran := a.End.IsZero() || a.End.After(cancel.at)
+			if ran && (target == nil || a.At.After(target.At)) {
+				target = a
+			}
+		}
+		if target != nil && target.Cancel.IsZero() {
+			target.Cancel = cancel.at
 		}
 	}
 }
