tcpinfo: a time since an arrival is never too long by the kernel's tick

Cause: the kernel counts in ticks of 4 ms, and what came 48 us ago was said to have come 4 ms ago. Since the end of a dispatcher's direction has the kernel's time, so that the close that answers a client's own could count as earlier than it. Since the soak's calls could seem up to a tick early, which would have weakened sent_after_answer.

Change: a tick is taken off, so that a time is never earlier than the truth.

--- a/internal/tcpinfo/tcpinfo.go
+++ b/internal/tcpinfo/tcpinfo.go
@@ -9,15 +9,18 @@
 	"golang.org/x/sys/unix"
 )
 
-// SinceData returns how long ago the kernel received the last bytes on a connection, to the millisecond; 0:
-// it does not say.
+// tick is the step in which the kernel counts (CONFIG_HZ of 250 or more): a time may seem longer by one.
+const tick = 4 * time.Millisecond
+
+// SinceData returns for how long at least the last bytes on a connection have been there, to a few
+// milliseconds; 0: the kernel does not say.
 func SinceData(conn syscall.RawConn) time.Duration {
 	return milliseconds(get(conn).Last_data_recv)
 }
 
-// SinceSegment returns how long ago the kernel received the last segment with an acknowledgement, to the
-// millisecond; 0: it does not say. After the end of a stream that is the end itself, for whoever has closed a
-// connection acknowledges nothing more.
+// SinceSegment returns how long ago at least the kernel received the last segment with an acknowledgement, to
+// a few milliseconds; 0: it does not say. After the end of a stream that is the end itself, for whoever has
+// closed a connection acknowledges nothing more.
 func SinceSegment(conn syscall.RawConn) time.Duration {
 	return milliseconds(get(conn).Last_ack_recv)
 }
@@ -33,4 +36,6 @@
 	return info
 }
 
-func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
+func milliseconds(n uint32) time.Duration {
+	return max(time.Duration(n)*time.Millisecond-tick, 0)
+}
--- a/internal/tcpinfo/tcpinfo_test.go
+++ b/internal/tcpinfo/tcpinfo_test.go
@@ -34,3 +34,22 @@
 		t.Errorf("of a closed connection: %v", since)
 	}
 }
+
+// TestSinceIsNeverTooLong guards against an end of a connection that counted as earlier than its cause: the
+// kernel counts in ticks.
+func TestSinceIsNeverTooLong(t *testing.T) {
+	const rounds = 3000
+	conn, peer := tcptest.Pair(t)
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range rounds {
+		before := time.Now()
+		peer.Write([]byte("x"))
+		if data, segment := SinceData(raw), SinceSegment(raw); max(data, segment) > time.Since(before) {
+			t.Fatalf("bytes came %v or %v ago, and were sent %v ago", data, segment, time.Since(before))
+		}
+		conn.Read(make([]byte, 1))
+	}
+}
