Relay and soak: TCP_INFO is not fit to order events, and is taken back there

Cause: the kernel counts in ticks of 4 ms, and a busy machine skips some: what came 48 us ago was said to have come 4 ms ago, and once 20 ms for 15. Since the close that answers a client's own could so count as before it, and since a call could seem early, which weakens sent_after_answer.

The node keeps its use: within 5 s of a pause some milliseconds do not matter.

--- a/internal/rehearsal/rulecheck/arrival.go
+++ b/internal/rehearsal/rulecheck/arrival.go
@@ -10,8 +10,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"cresspass/internal/tcpinfo"
 )
 
 // timespecSize is the size of the kernel's time of arrival: seconds and nanoseconds of 8 bytes each.
@@ -40,7 +38,7 @@
 	return &arrivalReader{raw: raw, control: make([]byte, unix.CmsgSpace(timespecSize))}, nil
 }
 
-// Read reads bytes as a net.Conn does, and returns when the kernel received the last of them, or the end.
+// Read reads bytes as a net.Conn does, and returns when the kernel received the last of them.
 func (r *arrivalReader) Read(b []byte) (n int, arrived time.Time, err error) {
 	var controlSize int
 	var readErr error
@@ -59,7 +57,7 @@
 	case readErr != nil:
 		return 0, now, os.NewSyscallError("recvmsg", readErr)
 	case n == 0:
-		return 0, now.Add(-tcpinfo.SinceSegment(r.raw)), io.EOF
+		return 0, now, io.EOF
 	}
 	return n, now.Add(-waitSince(now, r.control[:controlSize])), nil
 }
--- a/internal/rehearsal/rulecheck/relay.go
+++ b/internal/rehearsal/rulecheck/relay.go
@@ -146,21 +146,18 @@
 func pipe(to, from *net.TCPConn, t *tap, fromDispatcher bool) {
 	reader, err := newArrivalReader(from)
 	buf := make([]byte, relayBufferSize)
-	arrived := time.Now()
 	for err == nil {
 		var n int
-		n, arrived, err = reader.Read(buf)
-		if !fromDispatcher {
-			arrived = time.Now()
-		}
-		if n > 0 {
-			t.add(arrived, buf[:n]) // recorded before it is passed on, so that causes come before effects
-			if _, err = to.Write(buf[:n]); err != nil {
+		var arrived time.Time
+		if n, arrived, err = reader.Read(buf); n > 0 {
+			if !fromDispatcher {
 				arrived = time.Now()
 			}
+			t.add(arrived, buf[:n]) // recorded before it is passed on, so that causes come before effects
+			_, err = to.Write(buf[:n])
 		}
 	}
-	t.end(arrived)
+	t.end(time.Now())
 	if errors.Is(err, io.EOF) {
 		_ = to.CloseWrite() // fails only on a connection that has ended already
 		return
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -6,8 +6,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"cresspass/internal/tcpinfo"
 )
 
 const (
@@ -106,7 +104,7 @@
 func (p *proxy) copyFromClient(id int, c *proxiedConn) {
 	err := p.copyDirection(c, c.client, c.server, func(b []byte) {
 		if p.tap != nil {
-			p.tap(id, receivedAt(c.client), b)
+			p.tap(id, time.Now(), b)
 		}
 	})
 	if err != nil {
@@ -114,20 +112,6 @@
 	}
 }
 
-// receivedAt is when the kernel received the last bytes on a connection.
-func receivedAt(conn net.Conn) time.Time {
-	now := time.Now()
-	tcp, ok := conn.(*net.TCPConn)
-	if !ok {
-		return now
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return now // it is closed
-	}
-	return now.Add(-tcpinfo.SinceData(raw))
-}
-
 // copyFromServer copies to the client. The server's end is not passed on where the link is silent.
 func (p *proxy) copyFromServer(c *proxiedConn) {
 	err := p.copyDirection(c, c.server, c.client, func([]byte) {})
--- a/internal/tcpinfo/tcpinfo.go
+++ b/internal/tcpinfo/tcpinfo.go
@@ -9,20 +9,10 @@
 	"golang.org/x/sys/unix"
 )
 
-// tick is the step in which the kernel counts (CONFIG_HZ of 250 or more): a time may seem longer by one.
-const tick = 4 * time.Millisecond
-
-// SinceData returns for how long at least the last bytes on a connection have been there, to a few
-// milliseconds; 0: the kernel does not say.
+// SinceData returns how long ago the last bytes on a connection came; 0: the kernel does not say. The kernel
+// counts in ticks of some milliseconds, and a busy machine may skip some: it is not fit to order two events.
 func SinceData(conn syscall.RawConn) time.Duration {
-	return milliseconds(get(conn).Last_data_recv)
-}
-
-// SinceSegment returns how long ago at least the kernel received the last segment with an acknowledgement, to
-// a few milliseconds; 0: it does not say. After the end of a stream that is the end itself, for whoever has
-// closed a connection acknowledges nothing more.
-func SinceSegment(conn syscall.RawConn) time.Duration {
-	return milliseconds(get(conn).Last_ack_recv)
+	return time.Duration(get(conn).Last_data_recv) * time.Millisecond
 }
 
 // get returns what the kernel knows of a connection; all is 0 where it does not say.
@@ -35,7 +25,3 @@
 	})
 	return info
 }
-
-func milliseconds(n uint32) time.Duration {
-	return max(time.Duration(n)*time.Millisecond-tick, 0)
-}
