TestBusyClientIsServed: fewer messages ahead of its request

Seen: the race suite beside twenty busy processes, 1 of 1: no answer within the client's 20 s. The request stood behind megabytes of cancels in the sockets' buffers, which a slow process reads for that long: the test's fault, not the dispatcher's.

Change: the buffers hold 256 KB. Without the bound that it checks it fails as before, 3 of 3; with -race beside twenty busy processes 0 of 12.

--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -285,6 +286,11 @@
 func TestBusyClientIsServed(t *testing.T) {
 	h := newHarness(t, 256)
 	client := h.dial()
+	eventually(t, "it is there", func() bool { return h.frontend.connCount() == 1 })
+	h.frontend.mu.Lock()
+	h.onlyConn().conn.SetReadBuffer(256 << 10) // so that few messages are ahead of the request
+	h.frontend.mu.Unlock()
+	client.conn.(*net.TCPConn).SetWriteBuffer(256 << 10)
 	var cancels []byte
 	for range 4 * maxMessagesAhead {
 		cancels = thrift.CancelRequest{TargetSeq: 7}.Append(cancels, 8) // 7 is not open
