--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -290,7 +290,9 @@
 	h.frontend.mu.Lock()
 	h.onlyConn().conn.SetReadBuffer(256 << 10) // so that few messages are ahead of the request
 	h.frontend.mu.Unlock()
-	client.conn.(*net.TCPConn).SetWriteBuffer(256 << 10)
+	if err := client.conn.(*net.TCPConn).SetWriteBuffer(256 << 10); err != nil {
+		t.Fatal(err)
+	}
 	var cancels []byte
 	for range 4 * maxMessagesAhead {
 		cancels = thrift.CancelRequest{TargetSeq: 7}.Append(cancels, 8) // 7 is not open
