Relay: rule 5 is judged as before; two changes without a trace are taken back

 (an attempt ends with the direction that ended first) and (a cancel decoded before its statement counts) both let rule 5 pass more.

--- a/internal/rehearsal/rulecheck/postgres.go
+++ b/internal/rehearsal/rulecheck/postgres.go
@@ -354,8 +354,6 @@
 }
 
 // recordConnectionEnd records what became of the queries that were pending when the connection ended.
-// Whichever direction ended first, the dispatcher may have known of it from then on: it closed the
-// connection, or a write to the engine failed and the relay reset the dispatcher's connection.
 func (s *stream) recordConnectionEnd(down, up *tap) {
 	s.recorder.mu.Lock()
 	defer s.recorder.mu.Unlock()
@@ -364,7 +362,7 @@
 			p.request.recordConnectionEnd(down, up)
 		}
 		if p.attempt != nil && p.attempt.End.IsZero() {
-			p.attempt.End, p.attempt.Lost = earliest(down.ended, up.ended), true
+			p.attempt.End, p.attempt.Lost = down.ended, true
 		}
 	}
 }
--- a/internal/rehearsal/rulecheck/recorder.go
+++ b/internal/rehearsal/rulecheck/recorder.go
@@ -1,6 +1,7 @@
 package rulecheck
 
 import (
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,7 +20,6 @@
 	statements statementCache
 	maxLag     time.Duration // the longest time from a byte's arrival to its decoding
 	unreadable []string      // streams that could not be decoded
-	cancels    []cancelRequest
 	pending    sync.WaitGroup
 }
 
@@ -60,7 +60,6 @@
 	}
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.applyCancels()
 	out := rec.log
 	if timedOut {
 		out.Unjudged = append(out.Unjudged, "the relays' bytes were not decoded in time")
@@ -98,40 +97,17 @@
 	rec.log.Attempts = append(rec.log.Attempts, a)
 }
 
-// cancelRequest is a cancel request that came on the engines' side. It has a connection of its own, so that
-// it may be decoded before the statement that it cancels.
-type cancelRequest struct {
-	engine string
-	pid    uint32
-	at     time.Time
-}
-
-// recordCancel records a cancel request on the engines' side.
+// recordCancel records a cancel request on the engines' side against the attempt that runs on its connection.
 func (rec *Recorder) recordCancel(side Side, name string, pid uint32, at time.Time) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
 	if side != Engines {
 		return
 	}
-	rec.mu.Lock()
-	defer rec.mu.Unlock()
-	rec.cancels = append(rec.cancels, cancelRequest{name, pid, at})
-}
-
-// applyCancels records each cancel request against the attempt that ran on its connection at its time. The
-// caller holds rec.mu; all has been decoded.
-func (rec *Recorder) applyCancels() {
-	for _, cancel := range rec.cancels {
-		var target *Attempt
-		for _, a := range rec.log.Attempts {
-			if a.Engine != cancel.engine || a.PID != cancel.pid || a.At.After(cancel.at) {
-				continue
-			}
-			ran := a.End.IsZero() || a.End.After(cancel.at)
-			if ran && (target == nil || a.At.After(target.At)) {
-				target = a
-			}
-		}
-		if target != nil && target.Cancel.IsZero() {
-			target.Cancel = cancel.at
+	for _, a := range slices.Backward(rec.log.Attempts) {
+		if a.Engine == name && a.PID == pid && a.End.IsZero() {
+			a.Cancel = at
+			return
 		}
 	}
 }
@@ -152,14 +128,6 @@
 	}
 }
 
-// earliest returns the earlier of two times.
-func earliest(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // statementTags returns the tags of a statement: of its comment, and of a first parameter such as
 // "id;name=value;...".
 func statementTags(text, first string) map[string]string {
--- a/internal/rehearsal/rulecheck/relay.go
+++ b/internal/rehearsal/rulecheck/relay.go
@@ -157,7 +157,7 @@
 			_, err = to.Write(buf[:n])
 		}
 	}
-	t.end(time.Now())
+	t.end()
 	if errors.Is(err, io.EOF) {
 		_ = to.CloseWrite() // fails only on a connection that has ended already
 		return
--- a/internal/rehearsal/rulecheck/tap.go
+++ b/internal/rehearsal/rulecheck/tap.go
@@ -40,10 +40,9 @@
 	t.changed.Signal()
 }
 
-// end tells that the direction ended at a time.
-func (t *tap) end(at time.Time) {
+func (t *tap) end() {
 	t.mu.Lock()
-	t.ended = at
+	t.ended = time.Now()
 	t.mu.Unlock()
 	t.changed.Signal()
 }
