Soak: a call is recorded once; state that can be derived goes

A start was recorded as a call and as a post, and printed twice in a trace, whose head repeated the events below it; lastSeen built the events again. The trace has the last byte of a start again, and the connection of each.

clientLook tells its first look by its limit, tcpinfo has one function. No check changed; TestTrace asks for the longer line.

--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -144,8 +144,7 @@
 type clientLook struct {
 	frontend     *frontend
 	request      *thriftserver.Request
-	begun        bool
-	messageLimit uint64 // of clientConn.messages: what was there at the first look is handled by then
+	messageLimit uint64 // clientConn.messages when what the first look saw is handled; 0: no look yet
 }
 
 // once reports whether the client waits as far as its messages were handled, and whether all were that were
@@ -161,8 +160,7 @@
 	if client.peek() == peekClosed {
 		return false, true
 	}
-	if !l.begun {
-		l.begun = true
+	if l.messageLimit == 0 {
 		l.messageLimit = client.messages + maxMessagesAhead
 	}
 	return true, !client.mayHoldMessage() || client.messages >= l.messageLimit
--- a/internal/soak/dispatcher.go
+++ b/internal/soak/dispatcher.go
@@ -96,22 +96,20 @@
 func (d *dispatcher) observe(node, connection int, now time.Time, b []byte) {
 	parser, _ := d.parsers.LoadOrStore(exchangeKey{node, connection}, &callParser{})
 	for _, c := range parser.(*callParser).feed(now, b) {
-		if c.ticket == "" {
-			continue // a health check
-		}
 		observed := observedCall{call: c, node: node, connection: connection}
-		d.fleet.oracle.updateRequest(c.ticket, func(r *observedRequest) {
-			r.calls = append(r.calls, observed)
-		})
 		if c.method != "POST" {
+			if c.ticket != "" { // else it is a health check
+				d.fleet.oracle.updateRequest(c.ticket, func(r *observedRequest) {
+					r.calls = append(r.calls, observed)
+				})
+			}
 			continue
 		}
 		post := postedQuery{
-			call:        c,
-			node:        node,
-			generation:  d.fleet.nodes[node].id(),
-			dispatcher:  d.index,
-			incarnation: d.currentIncarnation(),
+			observedCall: observed,
+			generation:   d.fleet.nodes[node].id(),
+			dispatcher:   d.index,
+			incarnation:  d.currentIncarnation(),
 		}
 		d.fleet.oracle.updateRequest(c.ticket, func(r *observedRequest) { r.posts = append(r.posts, post) })
 	}
--- a/internal/soak/machinelag.go
+++ b/internal/soak/machinelag.go
@@ -43,11 +43,11 @@
 	}
 }
 
-// during returns when the process ran late while a request was open, and shortly before and after.
-func (m *lagMonitor) during(r *observedRequest) (events []traceEvent) {
+// between returns when the process ran late between two times, and shortly before and after.
+func (m *lagMonitor) between(from, to time.Time) (events []traceEvent) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	from, to := r.sentAt.Add(-lagTraceMargin), r.lastSeen().Add(lagTraceMargin)
+	from, to = from.Add(-lagTraceMargin), to.Add(lagTraceMargin)
 	for _, lag := range m.lags {
 		if lag.at.After(from) && lag.at.Before(to) {
 			events = append(events, traceEvent{lag.at, fmt.Sprintf("the soak ran %v late", lag.late)})
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -64,10 +64,15 @@
 	at   time.Time
 }
 
-// postedQuery is the start of a query, as the tap on a link saw it.
-type postedQuery struct {
+// observedCall is a call of a dispatcher to a compute node, as the tap on a link saw it.
+type observedCall struct {
 	call
-	node        int
+	node, connection int
+}
+
+// postedQuery is the start of a query.
+type postedQuery struct {
+	observedCall
 	generation  string // of the compute node
 	dispatcher  int
 	incarnation int // of the dispatcher
@@ -95,7 +100,7 @@
 	excused                    string    // why no answer is owed; "": one is
 	malformed                  bool      // it does not raise the retry budget
 	posts                      []postedQuery
-	calls                      []observedCall
+	calls                      []observedCall // polls and cancels
 	intervals                  []interval
 	results                    []string // that compute nodes made
 }
--- a/internal/soak/oracle_test.go
+++ b/internal/soak/oracle_test.go
@@ -16,6 +16,7 @@
 // post records that a query was started at a compute node, as a tap sees it.
 func (o testOracle) post(ticket string, ms int) {
 	p := postedQuery{generation: "n0-0", incarnation: 1}
+	p.method = "POST"
 	p.firstByteAt, p.lastByteAt, p.limit = o.at(ms), o.at(ms), 100*time.Millisecond
 	o.updateRequest(ticket, func(r *observedRequest) {
 		p.class = r.class
--- a/internal/soak/trace.go
+++ b/internal/soak/trace.go
@@ -7,15 +7,10 @@
 	"time"
 )
 
-// observedCall is a call of a dispatcher to a compute node about a query: its start, a poll or a cancel.
-type observedCall struct {
-	call
-	node, connection int
-}
-
 // String is the call as traces print it.
 func (c observedCall) String() string {
-	return fmt.Sprintf("%s %s to node %d on connection %d", c.method, c.page, c.node, c.connection)
+	what := strings.TrimSpace(c.method + " " + c.page)
+	return fmt.Sprintf("%s to node %d on connection %d", what, c.node, c.connection)
 }
 
 // traceEvent is something that happened to a request.
@@ -32,13 +27,16 @@
 	if r == nil {
 		return nil
 	}
-	lines = append(lines, fmt.Sprintf("request %s of class %s, key %q, at dispatcher %d life %d: sent %s, "+
-		"limit %v, client gone %s, connection ended %s %s, excused %q",
-		r.ticket, r.class, r.orderingKey, r.dispatcher, r.incarnation, o.sinceStart(r.sentAt), r.limit,
-		o.sinceStart(r.clientGoneAt), o.sinceStart(r.connectionEndedAt), r.connectionEndedBy, r.excused))
-	lines = append(lines, "the run began at "+o.startedAt.UTC().Format("15:04:05.000"))
-	events := append(r.events(), o.machineLags.during(r)...)
-	slices.SortStableFunc(events, func(a, b traceEvent) int { return a.at.Compare(b.at) })
+	lines = append(lines, fmt.Sprintf("request %s of class %s, key %q, at dispatcher %d life %d: limit %v, "+
+		"excused %q; the run began at %s", r.ticket, r.class, r.orderingKey, r.dispatcher, r.incarnation,
+		r.limit, r.excused, o.startedAt.UTC().Format("15:04:05.000")))
+	byTime := func(a, b traceEvent) int { return a.at.Compare(b.at) }
+	events := r.events()
+	if len(events) > 0 {
+		first, last := slices.MinFunc(events, byTime), slices.MaxFunc(events, byTime)
+		events = append(events, o.machineLags.between(first.at, last.at)...)
+	}
+	slices.SortStableFunc(events, byTime)
 	for _, event := range events {
 		lines = append(lines, "  "+o.sinceStart(event.at)+" "+event.text)
 	}
@@ -59,7 +57,8 @@
 		add(c.firstByteAt, "%v", c)
 	}
 	for _, post := range r.posts {
-		add(post.firstByteAt, "started at node %d (%s), told %v", post.node, post.generation, post.limit)
+		add(post.firstByteAt, "%v (%s), told %v, last byte %v later", post, post.generation, post.limit,
+			post.lastByteAt.Sub(post.firstByteAt))
 	}
 	for _, attempt := range r.intervals {
 		add(attempt.start, "runs at node %d", attempt.node)
@@ -71,16 +70,6 @@
 	return events
 }
 
-// lastSeen is the time of the last event of a request.
-func (r *observedRequest) lastSeen() (last time.Time) {
-	for _, event := range r.events() {
-		if event.at.After(last) {
-			last = event.at
-		}
-	}
-	return last
-}
-
 // rowOwners says of each row of an answer to which request it belongs. Rows begin with a ticket.
 func (o *oracle) rowOwners(body string) string {
 	var owners []string
--- a/internal/soak/trace_test.go
+++ b/internal/soak/trace_test.go
@@ -27,7 +27,8 @@
 	o.machineLags.lags = []machineLag{{o.at(35), 25 * time.Millisecond}, {o.at(5000), time.Second}}
 	trace := strings.Join(o.trace("a"), "\n")
 	last := 0
-	for _, want := range []string{"sent by its client", "started at node 0", "runs at node 2",
+	for _, want := range []string{"sent by its client",
+		"POST to node 0 on connection 0 (n0-0), told 100ms", "runs at node 2",
 		"GET 1 to node 2 on connection 7", "ended at node 2", "the soak ran 25ms late", "served"} {
 		at := strings.Index(trace, want)
 		if at < last {
--- a/internal/tcpinfo/tcpinfo.go
+++ b/internal/tcpinfo/tcpinfo.go
@@ -11,17 +11,12 @@
 
 // SinceData returns how long ago the last bytes on a connection came; 0: the kernel does not say. The kernel
 // counts in ticks of some milliseconds, and a busy machine may skip some: it is not fit to order two events.
-func SinceData(conn syscall.RawConn) time.Duration {
-	return time.Duration(get(conn).Last_data_recv) * time.Millisecond
-}
-
-// get returns what the kernel knows of a connection; all is 0 where it does not say.
-func get(conn syscall.RawConn) (info unix.TCPInfo) {
-	// Control fails on a closed connection, and leaves all at 0.
+func SinceData(conn syscall.RawConn) (since time.Duration) {
+	// Control fails on a closed connection, and leaves it at 0.
 	_ = conn.Control(func(fd uintptr) {
-		if answer, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			info = *answer
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			since = time.Duration(info.Last_data_recv) * time.Millisecond
 		}
 	})
-	return info
+	return since
 }
