--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -201,6 +201,18 @@
 	}
 }
 
+// startHeldAttempt returns a harness with one request, whose attempt waits for a connection until pool.mu is
+// unlocked.
+func startHeldAttempt(t *testing.T) (h *harness, client *testClient, seq int32) {
+	t.Helper()
+	h = newHarness(t, 256)
+	h.pool.mu.Lock()
+	client = h.dial()
+	seq = client.send(requestFields(ticket(1), "quick", "2000"))
+	eventually(t, "the attempt has started", func() bool { return h.attemptCount() == 1 })
+	return h, client, seq
+}
+
 // TestCloseOrCancelBeforeSend: a query that waits for a connection is not sent any more when its
 // client has gone, also where the core does not know that yet.
 func TestCloseOrCancelBeforeSend(t *testing.T) {
@@ -211,11 +223,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h := newHarness(t, 256)
-			h.pool.mu.Lock() // no connection is to be had
-			client := h.dial()
-			seq := client.send(requestFields(ticket(1), "quick", "2000"))
-			eventually(t, "the attempt has started", func() bool { return h.attemptCount() == 1 })
+			h, client, seq := startHeldAttempt(t)
 			resume := h.pauseLoop()
 			leave(client, seq)
 			eventually(t, "the frontend knows", func() bool { return h.frontend.openRequests() == 0 })
@@ -240,11 +248,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			blind, done := blindPeek(t)
-			h := newHarness(t, 256)
-			h.pool.mu.Lock() // no connection is to be had
-			client := h.dial()
-			seq := client.send(requestFields(ticket(1), "quick", "2000"))
-			eventually(t, "the attempt has started", func() bool { return h.attemptCount() == 1 })
+			h, client, seq := startHeldAttempt(t)
 			blind()
 			leave(client, seq)
 			eventually(t, "the peek that sees nothing", done)
@@ -264,11 +268,7 @@
 // socket: the client's reader had 20 ms to come to it.
 func TestCancelReadLatePreventsSend(t *testing.T) {
 	blind, done := blindPeek(t)
-	h := newHarness(t, 256)
-	h.pool.mu.Lock() // no connection is to be had
-	client := h.dial()
-	seq := client.send(requestFields(ticket(1), "quick", "2000"))
-	eventually(t, "the attempt has started", func() bool { return h.attemptCount() == 1 })
+	h, client, seq := startHeldAttempt(t)
 	blind()
 	client.conn.Write(thrift.CancelRequest{TargetSeq: seq}.Append(nil, 99))
 	eventually(t, "the peek that sees nothing", done)
--- a/internal/platform/overflow_test.go
+++ b/internal/platform/overflow_test.go
@@ -35,6 +35,16 @@
 	})
 }
 
+// sendFrom sends a request from each of so many new connections.
+func (h *harness) sendFrom(clients int, limit string) (waiting []*testClient) {
+	for n := range clients {
+		client := h.dial()
+		client.send(requestFields(ticket(n+1), "quick", limit))
+		waiting = append(waiting, client)
+	}
+	return waiting
+}
+
 // TestRequestsBeyondCapacity guards against lost requests: connections that were accepted over a request were
 // closed without an answer where clients held all descriptors.
 func TestRequestsBeyondCapacity(t *testing.T) {
@@ -42,12 +52,7 @@
 	release := holdAccepts(t)
 	h := newHarness(t, sockets)
 	h.node.runForEver()
-	var waiting []*testClient
-	for n := range clients {
-		client := h.dial()
-		client.send(requestFields(ticket(n+1), "quick", "1500"))
-		waiting = append(waiting, client)
-	}
+	waiting := h.sendFrom(clients, "1500")
 	check := h.dial()
 	check.conn.Write(thrift.Alive{}.Append(nil, 1))
 	slow := h.dial()
@@ -77,12 +82,7 @@
 	h.node.runForEver()
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
 	go func() { ended <- h.run(signals) }()
-	var waiting []*testClient
-	for n := range clients {
-		client := h.dial()
-		client.send(requestFields(ticket(n+1), "quick", "1500"))
-		waiting = append(waiting, client)
-	}
+	waiting := h.sendFrom(clients, "1500")
 	signals <- syscall.SIGTERM
 	release()
 	for n, client := range waiting {
@@ -119,9 +119,7 @@
 	release := holdAccepts(t)
 	h := newHarness(t, sockets)
 	h.node.runForEver()
-	for n := range clients {
-		h.dial().send(requestFields(ticket(n+1), "quick", "60000"))
-	}
+	h.sendFrom(clients, "60000")
 	release()
 	eventually(t, "those beyond the capacity are answered", func() bool {
 		return h.frontend.openRequests() > 0 && h.evictedClients.Load() > 0 && len(h.frontend.overflow) == 0
--- a/internal/platform/stall_test.go
+++ b/internal/platform/stall_test.go
@@ -63,12 +63,9 @@
 	}
 }
 
-// TestStallBetweenPeekAndRead: the time in which a request was seen, and not yet read because the process
-// did not run, counts as waited.
-func TestStallBetweenPeekAndRead(t *testing.T) {
-	const stalled, slack = 500, 150 // milliseconds
-	var sentMS atomic.Int64
-	h := newHarness(t, 256)
+// recordLimit returns the time in milliseconds that the compute node was told with the last query.
+func (h *harness) recordLimit() *atomic.Int64 {
+	sentMS := &atomic.Int64{}
 	h.node.setHandler(func(_ http.ResponseWriter, q *http.Request, call, _ string) bool {
 		if call == "POST" {
 			ms, _ := strconv.ParseInt(q.Header.Get("X-Max-Ms"), 10, 64)
@@ -76,6 +73,15 @@
 		}
 		return false
 	})
+	return sentMS
+}
+
+// TestStallBetweenPeekAndRead: the time in which a request was seen, and not yet read because the process
+// did not run, counts as waited.
+func TestStallBetweenPeekAndRead(t *testing.T) {
+	const stalled, slack = 500, 150 // milliseconds
+	h := newHarness(t, 256)
+	sentMS := h.recordLimit()
 	client := h.dial()
 	client.mustServe(1, 1)
 	h.frontend.mu.Lock()
@@ -99,14 +105,7 @@
 	const stalled, late, slack = 500, 250, 150 // milliseconds
 	release := holdAccepts(t)
 	h := newHarness(t, 256)
-	var sentMS atomic.Int64
-	h.node.setHandler(func(_ http.ResponseWriter, q *http.Request, call, _ string) bool {
-		if call == "POST" {
-			ms, _ := strconv.ParseInt(q.Header.Get("X-Max-Ms"), 10, 64)
-			sentMS.Store(ms)
-		}
-		return false
-	})
+	sentMS := h.recordLimit()
 	h.stalls.mu.Lock()
 	client := h.dial()
 	client.send(requestFields(ticket(1), "quick", "2000"))
@@ -199,15 +198,8 @@
 					return &stallingConn{conn.(*net.TCPConn), at.stall}, nil
 				}
 			})
-			var sentMS atomic.Int64
 			h := newHarnessWith(t, 256, `"may-probe":true`, `"may-probe":false`)
-			h.node.setHandler(func(_ http.ResponseWriter, q *http.Request, call, _ string) bool {
-				if call == "POST" {
-					ms, _ := strconv.ParseInt(q.Header.Get("X-Max-Ms"), 10, 64)
-					sentMS.Store(ms)
-				}
-				return false
-			})
+			sentMS := h.recordLimit()
 			client := h.dial()
 			begun, resume := make(chan struct{}), make(chan struct{})
 			point.Store(&stallPoint{addr: serverAddr(h.node.Server),
