Review, case 1: a committed transaction is reported as rolled back

Seen: where an engine answers a COMMIT later than its client waits, the client is told 08007, and then, for any further statement, 08006 'rolled back', although the engine has committed. A client that repeats its transfer has it committed twice.

--- a/review/bench/bench.go
+++ b/review/bench/bench.go
@@ -5,17 +5,20 @@
 package bench
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
-	"cresspass/internal/discovery/eds"
+	"github.com/jackc/pgx/v5/pgconn"
+
 	"cresspass/internal/rehearsal/testbed"
-	"cresspass/internal/standin"
 )
 
 // Exit codes of a case.
@@ -25,6 +28,9 @@
 	CouldNot = 2
 )
 
+// limit is how long a run may take.
+const limit = 110 * time.Second
+
 // Bench is the environment of one run of a case.
 type Bench struct {
 	Dir     string // temporary folder
@@ -54,6 +60,16 @@
 	}
 	b := &Bench{Dir: dir, Trouble: os.Getenv("TROUBLE") != "0", began: time.Now(), record: record}
 	b.Log("trouble: %v", b.Trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		select {
+		case s := <-signals:
+			b.Exit(CouldNot, "ended by %v", s)
+		case <-time.After(limit):
+			b.Exit(CouldNot, "not done within %v", limit)
+		}
+	}()
 	return b
 }
 
@@ -108,20 +124,20 @@
 	return addr
 }
 
-// Engine starts a stand-in engine.
-func (b *Bench) Engine(cfg standin.EngineConfig) *standin.Engine {
-	cfg.Listen = "127.0.0.1:0"
-	e, err := standin.NewEngine(cfg)
-	b.Must(err)
-	return e
-}
-
-// Discovery starts a stand-in discovery service that lists engines.
-func (b *Bench) Discovery(engines ...eds.Engine) *standin.DiscoveryServer {
-	d, err := standin.NewDiscoveryServer("127.0.0.1:0", "engines")
-	b.Must(err)
-	d.Set(engines)
-	return d
+// Connect opens a client's connection, and tries again while the dispatcher does not listen.
+func (b *Bench) Connect(listen string) *pgconn.PgConn {
+	for i := 0; ; i++ {
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		c, err := pgconn.Connect(ctx, "postgres://u@"+listen+"/d?sslmode=disable")
+		cancel()
+		if err == nil {
+			return c
+		}
+		if i > 300 {
+			b.Must(err)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
 }
 
 // Process is a process of the project.
@@ -143,9 +159,11 @@
 	log, err := os.Create(p.logPath)
 	b.Must(err)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	b.Must(p.cmd.Start())
 	b.procs = append(b.procs, p)
-	b.Log("started %s: cresspass %v, pid %d", name, args, p.cmd.Process.Pid)
+	b.Log("started %s: cresspass %s, pid %d", name,
+		strings.ReplaceAll(strings.Join(args, " "), b.Dir+"/", ""), p.cmd.Process.Pid)
 	go func() {
 		_ = p.cmd.Wait()
 		_ = log.Close()
@@ -154,6 +172,17 @@
 	return p
 }
 
+// WaitReady waits until the process has logged that it is ready, at most 10 s.
+func (b *Bench) WaitReady(p *Process) {
+	for range 1000 {
+		if text, _ := os.ReadFile(p.logPath); strings.Contains(string(text), "to=ready") {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	b.Exit(CouldNot, "%s is not ready", p.Name)
+}
+
 // Signal sends a signal.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
--- a/review/bench/proxy.go
+++ b/review/bench/proxy.go
@@ -3,27 +3,26 @@
 package bench
 
 import (
-	"encoding/binary"
 	"io"
 	"net"
 	"sync/atomic"
 	"time"
 )
 
-// Proxy passes connections on to an engine. While CancelDelay is set, a connection that carries a cancel
-// request comes up so much later.
+// Proxy is the link to an engine: it passes connections on.
 type Proxy struct {
-	CancelDelay atomic.Int64 // a time.Duration
-	bench       *Bench
-	listener    net.Listener
-	target      string
+	silent   atomic.Bool
+	bench    *Bench
+	name     string
+	listener net.Listener
+	target   string
 }
 
 // Proxy starts a proxy before an engine.
-func (b *Bench) Proxy(target string) *Proxy {
+func (b *Bench) Proxy(name, target string) *Proxy {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	b.Must(err)
-	p := &Proxy{bench: b, listener: ln, target: target}
+	p := &Proxy{bench: b, name: name, listener: ln, target: target}
 	go p.accept()
 	return p
 }
@@ -31,6 +30,13 @@
 // Addr returns the proxy's address.
 func (p *Proxy) Addr() string { return p.listener.Addr().String() }
 
+// SetSilent makes the link silent, or ends that: while it is, nothing that the engine sends is passed on, and
+// it comes late. Connections stay open.
+func (p *Proxy) SetSilent(silent bool) {
+	p.bench.Log("link of %s: silent: %v", p.name, silent)
+	p.silent.Store(silent)
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
@@ -41,30 +47,25 @@
 	}
 }
 
-const cancelCode = 80877102 // "Message Formats": CancelRequest
-
 func (p *Proxy) serve(client net.Conn) {
 	defer client.Close()
-	head := make([]byte, 8)
-	if _, err := io.ReadFull(client, head); err != nil {
-		return
-	}
-	if binary.BigEndian.Uint32(head[4:]) == cancelCode {
-		delay := time.Duration(p.CancelDelay.Load())
-		p.bench.Log("link: a connection with a cancel request, it comes up after %v", delay)
-		time.Sleep(delay)
-	}
 	engine, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
 	}
 	defer engine.Close()
-	if _, err := engine.Write(head); err != nil {
-		return
-	}
 	go func() {
 		_, _ = io.Copy(engine, client)
 		_ = engine.(*net.TCPConn).CloseWrite()
 	}()
-	_, _ = io.Copy(client, engine)
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := engine.Read(buffer)
+		for p.silent.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		if _, writeErr := client.Write(buffer[:n]); err != nil || writeErr != nil {
+			return
+		}
+	}
 }
