Review, case 1: statements get other statements' rows, also other clients'

Seen: the session of case 2 before is one answer behind after a late answer; at its COMMIT the engine connection goes to the pool with a statement out, and other clients get its rows. Change: the case becomes the first, as it is the gravest; other clients read beside it.

--- a/review/1/main.go
+++ b/review/1/main.go
@@ -1,12 +1,15 @@
 //go:build review
 
-// Case 1: a client is told that its transaction was rolled back, although its engine has committed it.
+// Case 1: after a statement of a transaction was ended by its client's time, while its engine was silent, the
+// next statements get each the rows of the one before, and so do other clients.
 package main
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -59,95 +62,131 @@
 
 const (
 	engines    = 6
-	clients    = 3
 	silence    = 7 * time.Second // of one engine
-	clientTime = 6 * time.Second // for each statement
+	clientTime = 6 * time.Second // for each statement of the transaction
+	readers    = 20
+	readFor    = 4 * time.Second
+	pause      = 100 * time.Millisecond // of a client after an error
 )
 
+// clients plays the clients and counts what they are answered.
+type clients struct {
+	bench               *bench.Bench
+	fleet               *bench.Fleet
+	listen              string
+	own, wrong, foreign atomic.Int64
+}
+
 func main() {
 	b := bench.New()
-	fleet := b.Fleet(engines)
-	listen := b.FreePort()
+	p := &clients{bench: b, fleet: b.Fleet(engines), listen: b.FreePort()}
 	b.WaitReady(b.Start("dispatcher", "serve", "-c",
-		b.File("serve.hcl", fmt.Sprintf(settings, listen, fleet.Discovery.Addr()))))
-	twice, done := 0, 0
-	for i := range clients {
-		if transfer(b, fleet, listen, i) {
-			done++
-		}
+		b.File("serve.hcl", fmt.Sprintf(settings, p.listen, p.fleet.Discovery.Addr()))))
+	answering := make(chan struct{}) // closed once the engine of the transaction answers again
+	var all sync.WaitGroup
+	for i := range readers {
+		all.Go(func() {
+			c := b.Connect(p.listen)
+			<-answering
+			p.read(c, i)
+		})
+	}
+	all.Go(func() { p.transaction(answering) })
+	all.Wait()
+	wrong, foreign := p.wrong.Load(), p.foreign.Load()
+	switch {
+	case wrong+foreign > 0:
+		b.Exit(bench.Broken, "%d rows of another statement of the client, %d of another client; %d own", wrong,
+			foreign, p.own.Load())
+	case p.own.Load() == 0:
+		b.Exit(bench.CouldNot, "no statement was answered")
 	}
-	b.LogRuns(fleet)
-	for i := range clients {
-		// The stand-in records a COMMIT that has taken effect, by its id.
-		n := 0
-		for _, r := range fleet.Runs() {
-			if r.Class == "COMMIT" && r.ID == id(i) {
-				n++
-			}
+	b.Exit(bench.Held, "%d statements were answered with their own row, none with another", p.own.Load())
+}
+
+// run sends a statement whose row is name, and counts the row that it gets. It returns false after an error.
+func (p *clients) run(c *pgconn.PgConn, client, name string, workMS int) bool {
+	return p.send(c, client, name, fmt.Sprintf("SELECT a FROM t /*id='%[1]s',echo='%[1]s',work_ms='%[2]d'*/",
+		client+" "+name, workMS), client == "transaction")
+}
+
+func (p *clients) send(c *pgconn.PgConn, client, name, text string, logged bool) bool {
+	if logged {
+		p.bench.Log("client %s: sends %s", client, text)
+	}
+	results, err := c.Exec(context.Background(), text).ReadAll()
+	for _, result := range results {
+		for _, row := range result.Rows {
+			p.count(client, name, string(row[1]))
 		}
-		b.Log("the transfer of client %d was committed %d times", i, n)
-		if n > 1 {
-			twice++
+		if logged {
+			p.bench.Log("client %s: %s is answered %q %s, status %c", client, name, result.Rows,
+				result.CommandTag, c.TxStatus())
 		}
 	}
-	switch {
-	case twice > 0:
-		b.Exit(bench.Broken, "%d transfers were committed twice", twice)
-	case done < clients:
-		b.Exit(bench.CouldNot, "%d of %d transfers were committed", done, clients)
+	var e *pgconn.PgError
+	if errors.As(err, &e) {
+		p.bench.Log("client %s: %s is told %s %s", client, name, e.Code, e.Message)
+	} else if err != nil {
+		p.bench.Log("client %s: %s: %v", client, name, err)
 	}
-	b.Exit(bench.Held, "%d transfers were committed once", done)
+	return err == nil
 }
 
-func id(client int) string { return fmt.Sprintf("transfer-%d", client) }
+func (p *clients) count(client, name, row string) {
+	switch {
+	case row == client+" "+name:
+		p.own.Add(1)
+		return
+	case len(row) > len(client) && row[:len(client)+1] == client+" ":
+		p.wrong.Add(1)
+	default:
+		p.foreign.Add(1)
+	}
+	p.bench.Log("client %s: %s is answered with the row %q", client, name, row)
+}
 
-// transfer plays a client that makes a transfer in a transaction. It makes it again only where it is told
-// that the transaction was rolled back, or that nothing of it ran.
-func transfer(b *bench.Bench, fleet *bench.Fleet, listen string, client int) bool {
-	for try := range 3 {
-		committed, rolledBack := attempt(b, fleet, listen, client, b.Trouble && try == 0)
-		if committed || !rolledBack {
-			return committed
+// read plays a client that reads, without a transaction.
+func (p *clients) read(c *pgconn.PgConn, number int) {
+	defer c.Conn().Close()
+	client := fmt.Sprintf("reader-%d", number)
+	begin := time.Now()
+	for n := 0; time.Since(begin) < readFor; n++ {
+		if !p.run(c, client, fmt.Sprintf("row-%d", n), 20) {
+			time.Sleep(pause)
 		}
+		time.Sleep(pause / 10)
 	}
-	return false
 }
 
-// attempt makes one try. rolledBack means that the client was told that the transaction is not in force.
-func attempt(b *bench.Bench, fleet *bench.Fleet, listen string, client int, trouble bool) (committed,
-	rolledBack bool) {
-	c := b.Connect(listen)
+// transaction plays a client that reads in a transaction, then outside it, each statement after the answer to
+// the one before. During its second statement the engine of the transaction is silent.
+func (p *clients) transaction(answering chan struct{}) {
+	const client = "transaction"
+	c := p.bench.Connect(p.listen)
 	defer c.Conn().Close()
-	var code string
-	run := func(text string) bool {
-		b.Log("client %d: sends %s", client, text)
-		results, err := c.Exec(context.Background(), text).ReadAll()
-		code = ""
-		var e *pgconn.PgError
-		if errors.As(err, &e) {
-			code = e.Code
+	p.send(c, client, "set", fmt.Sprintf("SET statement_timeout = %d", clientTime.Milliseconds()), true)
+	p.send(c, client, "begin", "BEGIN", true)
+	p.run(c, client, "row-1", 20)
+	if p.bench.Trouble {
+		engine := p.fleet.EngineOf("transaction row-1")
+		if engine < 0 {
+			p.bench.Exit(bench.CouldNot, "no engine ran the first statement")
 		}
-		if err != nil {
-			b.Log("client %d: is told %v", client, err)
-			return false
-		}
-		b.Log("client %d: is answered %s", client, results[0].CommandTag)
-		return true
-	}
-	if !run(fmt.Sprintf("SET statement_timeout = %d", clientTime.Milliseconds())) || !run("BEGIN") ||
-		!run(fmt.Sprintf("INSERT INTO t VALUES (%d) /*id='%s',work_ms='20'*/", client, id(client))) {
-		return false, true
+		link := p.fleet.Links[engine]
+		link.SetSilent(true)
+		time.AfterFunc(silence, func() {
+			link.SetSilent(false)
+			close(answering)
+		})
 	}
-	if trouble {
-		engine := fleet.EngineOf(id(client))
-		fleet.Links[engine].SetSilent(true)
-		time.AfterFunc(silence, func() { fleet.Links[engine].SetSilent(false) })
+	if !p.run(c, client, "row-2", 20) {
+		time.Sleep(pause)
 	}
-	if run(fmt.Sprintf("COMMIT /*id='%s'*/", id(client))) {
-		return true, false
+	if !p.bench.Trouble {
+		close(answering)
 	}
-	// The outcome is not known: the client looks, on the session that it has.
-	time.Sleep(2 * time.Second)
-	run("SELECT a FROM t /*echo='x',work_ms='20'*/")
-	return false, code == "08006"
+	p.run(c, client, "row-3", 2500)
+	p.send(c, client, "commit", "COMMIT /*state_ms='5'*/", true) // an engine takes 5 ms for it
+	p.run(c, client, "row-4", 1000)
 }
--- a/review/bench/proxy.go
+++ b/review/bench/proxy.go
@@ -12,6 +12,7 @@
 // Proxy is the link to an engine: it passes connections on.
 type Proxy struct {
 	silent   atomic.Bool
+	late     atomic.Int64 // a time.Duration: how much later new connections come up
 	bench    *Bench
 	name     string
 	listener net.Listener
@@ -37,6 +38,12 @@
 	p.silent.Store(silent)
 }
 
+// SetLate makes new connections come up so much later.
+func (p *Proxy) SetLate(late time.Duration) {
+	p.bench.Log("link of %s: new connections come up %v late", p.name, late)
+	p.late.Store(int64(late))
+}
+
 func (p *Proxy) accept() {
 	for {
 		c, err := p.listener.Accept()
@@ -49,6 +56,10 @@
 
 func (p *Proxy) serve(client net.Conn) {
 	defer client.Close()
+	if late := time.Duration(p.late.Load()); late > 0 {
+		p.bench.Log("link of %s: a new connection", p.name)
+		time.Sleep(late)
+	}
 	engine, err := net.Dial("tcp", p.target)
 	if err != nil {
 		return
