--- a/review/1/main.go
+++ b/review/1/main.go
@@ -96,8 +96,8 @@
 	wrong, foreign := p.wrong.Load(), p.foreign.Load()
 	switch {
 	case wrong+foreign > 0:
-		b.Exit(bench.Broken, "%d rows of another statement of the client, %d of another client; %d own", wrong,
-			foreign, p.own.Load())
+		b.Exit(bench.Broken, "%d rows of another statement of the client, %d of another client; %d own",
+			wrong, foreign, p.own.Load())
 	case p.own.Load() == 0:
 		b.Exit(bench.CouldNot, "no statement was answered")
 	}
