A verdict no longer replaces an answer by which the session has already gone on

The client then got an error for a COMMIT that its session had already counted as committed.

Cause: FinishWithVerdict looked at finished alone. Commit is followed at once by Finish or FailAttempt in the same goroutine, so nothing is late by waiting for them.

Test: the table of TestOneFinalAnswer held the fault as a wanted result ("committed": verdict true). The line now wants the verdict to be refused and the engine's answer to follow; two cases are new (the engine fails after the commit, the client is gone). They fail on the code before: 'verdict: true, want false'.

--- a/internal/dispatch/response/response.go
+++ b/internal/dispatch/response/response.go
@@ -39,6 +39,7 @@
 	buffered    []byte
 	reserved    int // bytes reserved from the budget
 	streaming   bool
+	committed   bool // Commit was called
 	finished    bool
 	doneSignal  chan struct{} // closed once the response is finished
 }
@@ -106,14 +107,15 @@
 }
 
 // Commit binds the response to its attempt before the attempt's last bytes: from now on the response cannot
-// be revoked and no other attempt can begin. It returns false if the response does not belong to the attempt.
+// be revoked, no other attempt can begin, and no verdict of the dispatcher replaces the engine's answer. Finish
+// or FailAttempt must follow. It returns false if the response does not belong to the attempt.
 func (r *Response) Commit(attempt int) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.belongsTo(attempt) {
 		return false
 	}
-	r.streaming = true
+	r.streaming, r.committed = true, true
 	return true
 }
 
@@ -172,11 +174,11 @@
 }
 
 // FinishWithVerdict ends the response with a verdict of the dispatcher. It returns false if the response was
-// already finished.
+// already finished, or an attempt has committed it and is about to finish it.
 func (r *Response) FinishWithVerdict(v *verdict.Verdict) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.finished {
+	if r.finished || r.committed {
 		return false
 	}
 	r.discardBuffer()
@@ -201,11 +203,12 @@
 // belongsTo reports whether an attempt owns the response. The caller holds the lock.
 func (r *Response) belongsTo(attempt int) bool { return !r.finished && r.owner == attempt }
 
-// writeVerdict ends the response with a verdict. The caller holds the lock.
+// writeVerdict ends the response with a verdict. The signal comes first: the sink checks whether an attempt was
+// sent, and none may be sent after that check. The caller holds the lock.
 func (r *Response) writeVerdict(v *verdict.Verdict) {
 	r.finished, r.owner = true, noAttempt
-	r.sink.WriteVerdict(v)
 	close(r.doneSignal)
+	r.sink.WriteVerdict(v)
 }
 
 // discardBuffer discards the buffered bytes and releases their part of the budget. The caller holds the lock.
--- a/internal/dispatch/response/response_test.go
+++ b/internal/dispatch/response/response_test.go
@@ -74,8 +74,23 @@
 			expect(t, "commit", r.Commit(0), true)
 			expect(t, "revoke", r.Revoke(0), false)
 			expect(t, "begin", r.BeginAttempt(1), false)
-			expect(t, "verdict", r.FinishWithVerdict(rejection), true)
-		}, []string{"verdict rejected"}},
+			// The session has gone on by the engine's answer, so no other one may take its place.
+			expect(t, "verdict", r.FinishWithVerdict(rejection), false)
+			expect(t, "finish", r.Finish(0, []byte("ab"), false), true)
+			expect(t, "verdict", r.FinishWithVerdict(rejection), false)
+		}, []string{"final ab"}},
+		"committed, and the engine failed": {func(t *testing.T, r *Response) {
+			r.BeginAttempt(0)
+			r.Commit(0)
+			expect(t, "verdict", r.FinishWithVerdict(rejection), false)
+			expect(t, "failure", r.FailAttempt(0, verdict.Fail("")), true)
+		}, []string{"verdict failed"}},
+		"committed, and the client is gone": {func(t *testing.T, r *Response) {
+			r.BeginAttempt(0)
+			r.Commit(0)
+			expect(t, "abandon", r.Abandon(), true)
+			expect(t, "finish", r.Finish(0, []byte("ab"), false), false)
+		}, nil},
 		"revoked": {func(t *testing.T, r *Response) {
 			r.BeginAttempt(0)
 			r.Write(0, []byte("ab"))
