A session's next statement waits until its engine has ended the one answered early

Cause: conn.start did not look whether the leased connection still had an attempt, and stored the new one over it (pgbackend/conn.go, start); and the session kept status T, whatever the engine made of the statement (pgfrontend/sink.go, updateAffinityAtEnd; flightsql/scope.go, onResponseEnded).

Change: after such an error the session goes by what its client was told, as PostgreSQL's clients expect it (E, or I after a statement that ends the transaction; affinity.Session.AnsweredEarly), and the connection is brought to that status before anything else is sent on it (pgbackend/restore.go). A cancel request is over before the connection takes the next statement. What can't be restored is closed, and its session ended.

Why it works: an attempt is stored in conn.current only under conn.mu and only where none is there, no cancel request is pending and the status is the client's; so a message of the engine belongs to the one statement out.

--- a/internal/affinity/session.go
+++ b/internal/affinity/session.go
@@ -84,10 +84,7 @@
 	s.sent, s.completed, s.commitSent = statements, 0, false
 	s.Params.StatementsSent(statements)
 	for i := range statements {
-		switch statements[i].Words[0] {
-		case "COMMIT", "END":
-			s.commitSent = true
-		}
+		s.commitSent = s.commitSent || commits(&statements[i])
 		// The reason holds from now on, not from the tag on: if the response is cut off, no tag arrives,
 		// although the statement may have left its state.
 		if reason := reasonLeftBy(&statements[i]); reason != reasonNone {
@@ -174,6 +171,12 @@
 	if s.Params.ReadyForQuery(status) {
 		s.reasons[ReasonSetting] = true
 	}
+	return s.updateBound(now)
+}
+
+// updateBound updates what depends on whether the session is bound, at the end of a query. changed is as in
+// ReadyForQuery.
+func (s *Session) updateBound(now time.Duration) (changed bool) {
 	if s.draining && !s.Bound() {
 		s.draining = false // the session is free in time: its next statement goes to another engine
 	}
@@ -185,6 +188,25 @@
 	return s.wasBound != before
 }
 
+// AnsweredEarly records that the client received an error for the statements that were sent last, and that the
+// error did not come from the engine, at a time. ran reports whether the statements had reached the engine,
+// which may still run them. Status is then the transaction status for the client, as PostgreSQL's clients
+// expect it after an error: a transaction has failed, or has ended if the statements end it. The engine
+// connection must be brought to that status. known is false if the session's settings depend on how the engine
+// ends the statements: the session must then be ended. changed is as in ReadyForQuery.
+func (s *Session) AnsweredEarly(now time.Duration, ran bool) (changed, known bool) {
+	if s.txStatus != statusIdle {
+		s.txStatus = statusFailedTransaction
+		if ran && endsTransaction(s.sent) {
+			s.txStatus = statusIdle
+		}
+	}
+	known = s.Params.AnsweredEarly(s.txStatus, ran, s.commitSent)
+	s.pendingRelease = reasonSet{} // the tags that prove a release will not be seen
+	s.sent, s.commitSent, s.idleSince = nil, false, now
+	return s.updateBound(now), known
+}
+
 // StartDrain records that the engine drains and that the session may stay until a deadline. It returns the
 // notice for the client, or "" if none is needed: a free session moves to another engine transparently, and a
 // session in a transaction may finish it.
--- a/internal/affinity/statement.go
+++ b/internal/affinity/statement.go
@@ -17,6 +17,35 @@
 	return reasonLeftBy(st) != reasonNone
 }
 
+// commits reports whether a statement commits the open transaction, or prepares it to be committed.
+func commits(st *sqlscan.Statement) bool {
+	switch st.Words[0] {
+	case "COMMIT", "END":
+		return true
+	case "PREPARE":
+		return st.Words[1] == "TRANSACTION"
+	}
+	return false
+}
+
+// endsTransaction reports whether one of the statements ends the open transaction.
+func endsTransaction(statements []sqlscan.Statement) bool {
+	for i := range statements {
+		st := &statements[i]
+		switch st.Words[0] {
+		case "ROLLBACK", "ABORT":
+			if !sessionparams.RollsBackToSavepoint(st) {
+				return true
+			}
+		default:
+			if commits(st) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // reasonLeftBy returns the reason for stickiness that a statement may leave behind, or reasonNone.
 func reasonLeftBy(st *sqlscan.Statement) Reason {
 	words := st.Words
--- a/internal/affinity/termination.go
+++ b/internal/affinity/termination.go
@@ -11,8 +11,9 @@
 
 // Texts for Termination.Detail.
 const (
-	detailRolledBack = "The transaction was rolled back."
-	detailStateLost  = "What was kept there is gone."
+	detailRolledBack    = "The transaction was rolled back."
+	detailStateLost     = "What was kept there is gone."
+	detailCommitUnknown = "It is not known whether the transaction is in force."
 )
 
 // Expire ends a session that has reached a time limit, and returns the error for its client. The limits are
@@ -53,7 +54,7 @@
 		return Termination{
 			Code:    sqlstate.TransactionResolutionUnknown,
 			Message: "the engine was lost after COMMIT was sent",
-			Detail:  "It is not known whether the transaction is in force.",
+			Detail:  detailCommitUnknown,
 		}
 	case s.txStatus != statusIdle:
 		return Termination{
@@ -75,13 +76,38 @@
 	}
 }
 
+// EndBySettings ends the session because AnsweredEarly has found that its settings are not known.
+func (s *Session) EndBySettings() Termination {
+	s.ended = true
+	return Termination{
+		Code:    sqlstate.AdminShutdown,
+		Message: "terminating connection: the settings of the session are not known",
+		Detail:  "The engine may still apply those of a statement that was answered with an error.",
+	}
+}
+
+// EndByUnreadAnswer ends the session because its client has not read the answer to a statement by the
+// statement's deadline: the transaction must not stay open for as long as the client does not read.
+func (s *Session) EndByUnreadAnswer() Termination {
+	detail := detailStateLost
+	if s.txStatus != statusIdle {
+		detail = detailRolledBack
+	}
+	s.ended = true
+	return Termination{
+		Code:    sqlstate.ConnectionFailure,
+		Message: "terminating connection: the client has not read its answer in time",
+		Detail:  detail,
+	}
+}
+
 // EndByDrain ends the session because its engine drains.
 func (s *Session) EndByDrain() Termination {
+	s.ended = true
 	detail := "What was kept there is gone; a new session will be on another engine."
 	if s.txStatus != statusIdle {
 		detail = detailRolledBack
 	}
-	s.ended = true
 	return Termination{
 		Code:    sqlstate.AdminShutdown,
 		Message: "the engine that this session was kept on drains",
--- a/internal/backend/pgbackend/attempt.go
+++ b/internal/backend/pgbackend/attempt.go
@@ -53,6 +53,8 @@
 	// the query had been sent.
 	OnConnectionLost func(sent bool)
 
+	restoresStatus bool // a statement of the pool's own; see restore.go
+
 	done      atomic.Bool
 	conn      atomic.Pointer[conn]
 	startedAt time.Time
--- a/internal/backend/pgbackend/cancel.go
+++ b/internal/backend/pgbackend/cancel.go
@@ -22,18 +22,7 @@
 	}
 	c.pendingCancels++
 	c.mu.Unlock()
-	p := c.pool
-	p.mu.Lock()
-	if p.closed {
-		p.mu.Unlock()
-		return
-	}
-	p.background.Add(1)
-	p.mu.Unlock()
-	go func() {
-		defer p.background.Done()
-		c.runCancel(a)
-	}()
+	c.pool.spawn(func() { c.runCancel(a) })
 }
 
 // runCancel sends the cancel request and returns the connection to the pool if it may be reused. If the
@@ -50,7 +39,11 @@
 	idle := c.awaitingCancel && c.pendingCancels == 0
 	c.awaitingCancel = c.awaitingCancel && !idle
 	c.mu.Unlock()
-	if idle {
+	switch {
+	case idle && c.lease.Load() != nil:
+		c.resumeSession()
+		return
+	case idle:
 		p.putIdle(c)
 		return
 	}
--- a/internal/backend/pgbackend/conn.go
+++ b/internal/backend/pgbackend/conn.go
@@ -43,6 +43,9 @@
 	pendingCancels int  // cancel requests not yet known to have been processed
 	awaitingCancel bool // idle, except that a cancel request is pending
 	closed         bool
+	status         byte       // transaction status of the last ReadyForQuery
+	clientStatus   byte       // status to restore before the session's next attempt; see restore.go; 0: none
+	waiting        []*Attempt // of the session, until the connection is free
 
 	// State of the running attempt. start resets it before it stores current; from then on it belongs to the
 	// reading goroutine.
@@ -77,14 +80,20 @@
 // reading goroutine sees the same failure.
 func (c *conn) close() { _ = c.netConn.Close() }
 
-// start sends an attempt's request. The connection belongs to the attempt until its ReadyForQuery. start
-// returns false if the connection has closed and nothing was sent.
+// start sends an attempt's request. The connection belongs to the attempt until its ReadyForQuery. On a
+// session's connection the attempt waits while an earlier statement runs there: its client may have been
+// answered before the engine. start returns false if the connection has closed and nothing was sent.
 func (c *conn) start(a *Attempt) bool {
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
 		return false
 	}
+	if c.mustRestore() {
+		c.waiting = append(c.waiting, a)
+		c.mu.Unlock()
+		return true
+	}
 	if a.done.Load() { // withdrawn before it was sent
 		c.mu.Unlock()
 		c.releaseUnused(a)
@@ -100,6 +109,7 @@
 		return true
 	}
 	c.resetAttempt()
+	c.clientStatus = 0
 	request := c.buildRequest(a)
 	c.current.Store(a)
 	c.mu.Unlock()
@@ -130,13 +140,16 @@
 	leased := a.Lease != nil && a.Lease.connection() == c
 	c.mu.Lock()
 	c.current.Store(nil)
-	c.awaitingCancel = !leased && c.pendingCancels > 0
+	c.awaitingCancel = c.pendingCancels > 0
 	idle := !c.awaitingCancel && !leased
 	c.mu.Unlock()
 	if idle {
 		c.pool.putIdle(c)
 	}
 	a.end(notStarted(outcome))
+	if leased {
+		c.resumeSession()
+	}
 	return false
 }
 
@@ -199,8 +212,16 @@
 	c.mu.Lock()
 	c.closed = true
 	a := c.current.Swap(nil)
+	if a != nil && a.restoresStatus {
+		a = nil
+	}
+	waiting := c.waiting
+	c.waiting = nil
 	c.mu.Unlock()
 	c.pool.removeConn(c)
+	for _, next := range waiting {
+		endLeaseLost(next, cresspass.OutcomeNotStarted)
+	}
 	message := fmt.Sprintf("engine %s: %v", c.engine.id, err)
 	if l := c.lease.Swap(nil); l != nil && l.connection() == c {
 		if a != nil { // a session's statements are never resent: losing the connection ends the session
--- a/internal/backend/pgbackend/lease.go
+++ b/internal/backend/pgbackend/lease.go
@@ -8,10 +8,13 @@
 )
 
 // Lease ties a client's session to one engine connection. The zero value has no connection. Its methods may
-// be called from several goroutines; OnLost and OnDrain are set before the first use.
+// be called from several goroutines; the callbacks are set before the first use.
 type Lease struct {
 	OnLost  func()                     // called when the connection is lost while no query runs
 	OnDrain func(within time.Duration) // called when the engine drains
+	// OnParameterStatus is called with the body of a ParameterStatus that comes after the client has received
+	// an error in place of the engine's answer. It may be nil.
+	OnParameterStatus func(body []byte)
 
 	mu     sync.Mutex
 	conn   *conn
--- a/internal/backend/pgbackend/message.go
+++ b/internal/backend/pgbackend/message.go
@@ -111,9 +111,11 @@
 	name, value, err := pgwire.ParseStatus(m.Body)
 	if err == nil && string(name) == loadReportSetting {
 		c.loadReport = c.parseLoadReport(string(value))
-	} else if a != nil && a.Response != nil && c.readyToSkip == 0 {
+	} else if a != nil && c.readyToSkip == 0 {
 		c.settingReported = true
-		c.forward(m)
+		if !c.reportSetting(a, m.Body) && a.Response != nil {
+			c.forward(m)
+		}
 	}
 	return err
 }
@@ -181,8 +183,8 @@
 		return nil
 	}
 	c.failed, c.engineError = true, f
-	if c.preparingKey != "" || f.Code == sqlstate.InvalidSQLStatementName ||
-		f.Code == sqlstate.FeatureNotSupported {
+	if a.Query != nil && (c.preparingKey != "" || f.Code == sqlstate.InvalidSQLStatementName ||
+		f.Code == sqlstate.FeatureNotSupported) {
 		// The statement was not parsed, the engine no longer has it, or its plan is for tables that have
 		// changed.
 		c.dropPrepared(a.Query.PrepareKey())
--- a/internal/backend/pgbackend/pool.go
+++ b/internal/backend/pgbackend/pool.go
@@ -181,6 +181,20 @@
 	return true
 }
 
+// spawn runs f in a goroutine that Close waits for. It does nothing if the pool is closed.
+func (p *Pool) spawn(f func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	p.background.Add(1)
+	go func() {
+		defer p.background.Done()
+		f()
+	}()
+}
+
 // engineFor returns the entry of an engine and adds it if it is new. The caller holds p.mu.
 func (p *Pool) engineFor(id cresspass.EngineID) *engine {
 	e := p.engines[id]
--- a/internal/backend/pgbackend/ready.go
+++ b/internal/backend/pgbackend/ready.go
@@ -25,10 +25,16 @@
 // endQuery ends the attempt at its ReadyForQuery. The connection is returned to the pool first, because the
 // client's next query may follow at once. If endQuery returns an error, the connection is closed.
 func (c *conn) endQuery(a *Attempt, status byte) error {
+	if a.restoresStatus {
+		return c.endRestore(a, status)
+	}
 	result, outcome := c.takeOutcome(a)
 	keep, tainted := c.settleSession(a, status, outcome.retryable)
 	err := c.detach(status, keep, tainted)
 	c.respond(a, result, outcome)
+	if keep && err == nil {
+		c.resumeSession()
+	}
 	return err
 }
 
@@ -63,9 +69,15 @@
 		return false, c.tainted
 	}
 	d := Disposition{}
+	committed := !retryable && a.Response.Commit(a.Number)
+	if !committed && c.answeredEarly(a) {
+		// The client was answered before the engine, and its session goes by that answer (restore.go). A
+		// setting that changed outside a transaction stays changed, and the session does not know it.
+		return true, c.tainted || c.settingReported && status == enginequery.StatusIdle
+	}
 	// A query whose response has ended otherwise, or that is attempted elsewhere, may have left a table, a
 	// lock or a setting here that belongs to no session. Then the disposition stays unknown.
-	if !retryable && a.Response.Commit(a.Number) {
+	if committed {
 		d = a.Settle(QueryEnd{Engine: c.engine.id, PID: c.pid, Secret: c.secret, TransactionStatus: status,
 			CommandTags: c.commandTags, SettingReported: c.settingReported, Settings: c.settings})
 		c.settings = d.Settings
@@ -93,10 +105,12 @@
 	var err error
 	c.mu.Lock()
 	c.current.Store(nil)
+	c.status = status
 	switch {
 	case tainted:
 		err = errUnknownState
 	case keep:
+		c.awaitingCancel = c.pendingCancels > 0
 	case status != enginequery.StatusIdle:
 		// The query left a transaction open. The next query on this connection would run inside it.
 		err = fmt.Errorf("the query left transaction state %q", status)
--- a/internal/backend/sessionparams/tracker.go
+++ b/internal/backend/sessionparams/tracker.go
@@ -125,6 +125,26 @@
 	return uncertain
 }
 
+// AnsweredEarly records that the client received an error in place of the engine's answer to the query, and the
+// transaction status that it was told. ran reports whether the query had reached the engine, commits whether it
+// contains a COMMIT. known is false if the session's settings depend on how the engine ends the query.
+func (t *Tracker) AnsweredEarly(status byte, ran, commits bool) (known bool) {
+	var changes []Change
+	for i := range t.sent {
+		if ch, ok := ChangeOf(&t.sent[i]); ok && ran {
+			changes = append(changes, ch)
+		}
+	}
+	t.sent, t.pendingInQuery = nil, nil
+	if status != 'I' { // the transaction will be rolled back, to a savepoint or altogether
+		t.pendingInTx = append(slices.Clip(t.pendingInTx), changes...)
+		return true
+	}
+	known = len(changes) == 0 && !(ran && commits && (t.uncertain || len(t.pendingInTx) > 0))
+	t.pendingInTx, t.uncertain = nil, false
+	return known
+}
+
 // Reset records that the query did not run, and that no transaction is open any more.
 func (t *Tracker) Reset() {
 	t.pendingInTx, t.pendingInQuery, t.sent, t.uncertain = nil, nil, nil, false
--- a/internal/frontend/flightsql/call.go
+++ b/internal/frontend/flightsql/call.go
@@ -132,7 +132,7 @@
 
 // WriteFinal buffers the last messages of the response.
 func (c *call) WriteFinal(b []byte, _ bool) {
-	c.scope.onResponseEnded(c)
+	c.scope.onAnswered(c)
 	c.server.pendingBytes.Add(int64(len(b)))
 	c.mu.Lock()
 	c.buf = append(c.buf, b...)
@@ -145,7 +145,7 @@
 // engine has sent. A verdict of any other kind reaches the client at once, and messages that the client has
 // not taken are dropped.
 func (c *call) WriteVerdict(v *verdict.Verdict) {
-	c.scope.onResponseEnded(c)
+	v = c.scope.onAnsweredEarly(c, v)
 	c.mu.Lock()
 	if v.Kind != verdict.Failed {
 		c.server.pendingBytes.Add(-int64(len(c.buf)))
--- a/internal/frontend/flightsql/scope.go
+++ b/internal/frontend/flightsql/scope.go
@@ -185,8 +185,8 @@
 	return d
 }
 
-// onResponseEnded is called under the response's lock when a statement has its final response.
-func (sc *scope) onResponseEnded(c *call) {
+// onAnswered is called under the response's lock when a statement has ended with its engine's response.
+func (sc *scope) onAnswered(c *call) {
 	sc.mu.Lock()
 	var t affinity.Termination
 	if sc.exclusiveCall == c {
@@ -194,18 +194,80 @@
 		if sc.connectionLost {
 			t = sc.affinity.ConnectionLost(false)
 		} else if sc.lease.Engine() == "" {
-			// A statement that was rejected before an engine ran it has left no state. Without this reset, it
-			// would bind the scope to an engine connection that does not exist.
-			sc.affinity.Reset()
-			sc.queue.SetSticky(false)
+			sc.resetState()
 		}
 	}
 	sc.mu.Unlock()
+	sc.terminateLater(t)
+}
+
+// resetState records that the scope holds no engine connection. A statement that was rejected before an engine
+// ran it has left no state: without this reset, it would bind the scope to an engine connection that does not
+// exist. The caller holds the scope's lock.
+func (sc *scope) resetState() {
+	sc.affinity.Reset()
+	sc.queue.SetSticky(false)
+}
+
+// terminateLater ends the scope, unless t is empty. It may be called under the response's lock.
+func (sc *scope) terminateLater(t affinity.Termination) {
 	if t.Code != "" {
 		go sc.terminate(lostVerdict(t))
 	}
 }
 
+// onAnsweredEarly is called under the response's lock when a statement ends with a verdict of the dispatcher.
+// The engine may not have received the statement, or may still run it. It returns the verdict for the client.
+func (sc *scope) onAnsweredEarly(c *call, v *verdict.Verdict) *verdict.Verdict {
+	sc.mu.Lock()
+	if sc.exclusiveCall != c {
+		sc.mu.Unlock()
+		return v
+	}
+	sc.exclusiveCall = nil
+	holds := sc.lease.Engine() != ""
+	switch {
+	case sc.connectionLost || !holds && c.query.EngineQuery.Sticky:
+		t := sc.affinity.ConnectionLost(false)
+		sc.mu.Unlock()
+		sc.terminateLater(t)
+		return v
+	case !holds:
+		sc.resetState()
+		sc.mu.Unlock()
+		return v
+	}
+	sent := sc.lease.Sent(c.query.EngineQuery)
+	if !sent {
+		sc.mu.Unlock()
+		return v
+	}
+	registry := sc.session.server.cfg.Registry
+	changed, known := sc.affinity.AnsweredEarly(registry.Now(), sent)
+	bound := sc.affinity.Bound()
+	sc.queue.SetSticky(bound)
+	transactionEnded := sc.transactionBegan && sc.affinity.Status() == enginequery.StatusIdle
+	if sc.transactionID != "" && transactionEnded && sc.endVerdict == nil {
+		sc.endVerdict = verdict.Invalid(sqlstate.InvalidTransactionState, v.Message)
+		bound, changed = false, true
+	}
+	var t affinity.Termination
+	switch {
+	case !known:
+		t = sc.affinity.EndBySettings()
+	case bound:
+		sc.lease.RestoreStatus(sc.affinity.Status())
+	default:
+		sc.lease.Detach()
+	}
+	sc.mu.Unlock()
+	if changed {
+		registry.Update(&sc.registration, bound, orphanedsession.Session{})
+	}
+	sc.terminateLater(t)
+	return v
+}
+
 // onConnectionLost ends the scope after its engine connection was lost while a statement ran or waited to be
 // sent. sent reports whether the statement had been sent to the engine.
 func (sc *scope) onConnectionLost(c *call, sent bool) {
--- a/internal/frontend/pgfrontend/client.go
+++ b/internal/frontend/pgfrontend/client.go
@@ -145,6 +145,15 @@
 		&pgwire.Fields{Severity: "WARNING", Code: sqlstate.Warning, Message: text}))
 }
 
+// sendParameterStatus sends a ParameterStatus that belongs to no response.
+func (c *client) sendParameterStatus(body []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed && !c.session.Closing() {
+		c.write(pgwire.Append(nil, 'S', body))
+	}
+}
+
 // write passes bytes to nbio for sending. If the connection fails, nbio closes it and calls onClose.
 func (c *client) write(b []byte) {
 	c.queuedBytes.Add(int64(len(b)))
--- a/internal/frontend/pgfrontend/pgsession/session.go
+++ b/internal/frontend/pgfrontend/pgsession/session.go
@@ -191,6 +191,17 @@
 	return s.Affinity.ReadyForQuery(now, status)
 }
 
+// AnsweredEarly records that the running query ends with an error that is not the engine's, at the time now.
+// It is called before QueryEnded. ran, changed and known are as in affinity.Session.
+func (s *Session) AnsweredEarly(now time.Duration, ran bool) (changed, known bool) {
+	before := s.Affinity.Status()
+	changed, known = s.Affinity.AnsweredEarly(now, ran)
+	if before != enginequery.StatusIdle {
+		s.settings.readyForQuery(s.Affinity.Status())
+	}
+	return changed, known
+}
+
 // Terminate ends the session with a FATAL error, unless it is closing already.
 func (s *Session) Terminate(code, message string) {
 	if s.phase != phaseClosing {
@@ -267,7 +278,7 @@
 // failFatal ends the session with a FATAL error.
 func (s *Session) failFatal(code, message string) {
 	s.out = pgwire.AppendFields(s.out, 'E', &pgwire.Fields{Severity: "FATAL", Code: code, Message: message})
-	s.phase = phaseClosing
+	s.phase, s.pendingQuery = phaseClosing, nil
 }
 
 // failProtocol ends the session because the client violates the protocol.
--- a/internal/frontend/pgfrontend/pgsession/settingscope.go
+++ b/internal/frontend/pgfrontend/pgsession/settingscope.go
@@ -138,6 +138,9 @@
 func (t *settingTracker) readyForQuery(status byte) {
 	if status != enginequery.StatusIdle {
 		t.inTransaction = true
+		if status == enginequery.StatusFailedTransaction {
+			t.transactionFailed()
+		}
 		return
 	}
 	if t.inTransaction || t.completed < len(t.sent) { // an error undid what the query had set
@@ -149,6 +152,15 @@
 	t.beginTransaction()
 }
 
+// transactionFailed undoes what was set in the transaction, or since its last savepoint: an error does so at once
+// ("SET"), and the statements up to the end of the transaction run without it.
+func (t *settingTracker) transactionFailed() {
+	t.current = t.beforeTx
+	if n := len(t.savepoints); n > 0 {
+		t.current = t.savepoints[n-1].scopes.current
+	}
+}
+
 // rollBackTo restores the values of a savepoint, which stays defined.
 func (t *settingTracker) rollBackTo(name string) {
 	for i, s := range slices.Backward(t.savepoints) {
--- a/internal/frontend/pgfrontend/query.go
+++ b/internal/frontend/pgfrontend/query.go
@@ -24,7 +24,7 @@
 	q := &frontend.Query{Frontend: Name, EngineQuery: engineQuery, OnResponseEnded: c.submitNext,
 		Client: classify.Client{User: s.User, Database: s.Database, Application: s.Application(),
 			Timeout: s.StatementTimeout()}}
-	q.Response = response.New(&sink{c, engineQuery.Kind}, &c.server.budget, c.server.cfg.Load().HoldBack)
+	q.Response = response.New(&sink{c, engineQuery}, &c.server.budget, c.server.cfg.Load().HoldBack)
 	q.Throttle = func() { c.awaitCapacity(q.Response.Done()) }
 	q.Lease = &c.lease
 	q.StartCopyIn = func(p *copyin.Pipe) bool { return c.startCopyIn(q, p) }
--- a/internal/frontend/pgfrontend/server.go
+++ b/internal/frontend/pgfrontend/server.go
@@ -220,6 +220,7 @@
 	c.overLimit = !cfg.AcquireConnection()
 	c.session = pgsession.New(&cfg.Session, c.pid, string(secret))
 	c.lease.OnLost, c.lease.OnDrain = c.onIdleConnectionLost, c.onEngineDraining
+	c.lease.OnParameterStatus = c.sendParameterStatus
 	c.registration.Expire = c.terminateIfDue
 	nc.SetSession(c)
 	_ = nc.SetNoDelay(true) // if it fails, responses are slower or the connection has closed
