A COMMIT that its engine has not answered is reported as not known (08007)

The client makes the transaction again.

Cause: what ends a statement reports its own reason, and no one looks whether a COMMIT has reached the engine (pgfrontend/sink.go, flightsql/scope.go, affinity/termination.go EndByDrain).

Change: verdict.CommitUndecided takes the place of any verdict once COMMIT, END or PREPARE TRANSACTION has reached the engine; EndByDrain reports 08007 for it.

Tests that fail on the code before: the cases 'commit' of TestStatementAfterEarlyAnswer (cancel request) and of TestSessionEndsOverRunningStatement; TestDrainEndsSessionOverCommit.

--- a/internal/affinity/early_answer_test.go
+++ b/internal/affinity/early_answer_test.go
@@ -56,5 +56,22 @@
 			t.Errorf("%s, then %s, ran %v: status %c, known %v, bound %v, want %c, %v, %v", c.before, c.text,
 				c.ran, s.Status(), known, s.Bound(), c.want, c.known, c.bound)
 		}
+		if s.CommitSent() {
+			t.Errorf("%s, then %s: a COMMIT counts as sent after its answer", c.before, c.text)
+		}
+	}
+}
+
+// TestDrainEndsSessionOverCommit guards against a transaction that is reported as rolled back while its COMMIT
+// is without an answer, because the engine drains.
+func TestDrainEndsSessionOverCommit(t *testing.T) {
+	for text, want := range map[string]string{"commit": "08007", "select 1": "57P01", "rollback": "57P01"} {
+		s := NewSession()
+		runStatement(s, "begin", "BEGIN", 'T')
+		s.StatementsSent(sqlscan.Statements(text))
+		s.StartDrain(1)
+		if e, due := s.Expire(1, true, Limits{}); !due || e.Code != want {
+			t.Errorf("%s: %+v, want %s", text, e, want)
+		}
 	}
 }
--- a/internal/affinity/session.go
+++ b/internal/affinity/session.go
@@ -207,6 +207,10 @@
 	return s.updateBound(now), known
 }
 
+// CommitSent reports whether the statements that were sent last contain a COMMIT. Once they have reached the
+// engine, only its answer decides whether the transaction is committed.
+func (s *Session) CommitSent() bool { return s.commitSent }
+
 // StartDrain records that the engine drains and that the session may stay until a deadline. It returns the
 // notice for the client, or "" if none is needed: a free session moves to another engine transparently, and a
 // session in a transaction may finish it.
--- a/internal/affinity/termination.go
+++ b/internal/affinity/termination.go
@@ -24,7 +24,7 @@
 	switch {
 	case s.ended || !s.Bound():
 	case s.draining && now >= s.drainDeadline:
-		return s.EndByDrain(), true
+		return s.EndByDrain(busy), true
 	case !busy && s.txStatus != statusIdle && l.IdleInTransaction > 0 &&
 		now-s.idleSince >= l.IdleInTransaction:
 		s.ended = true
@@ -90,7 +90,10 @@
 // statement's deadline: the transaction must not stay open for as long as the client does not read.
 func (s *Session) EndByUnreadAnswer() Termination {
 	detail := detailStateLost
-	if s.txStatus != statusIdle {
+	switch {
+	case s.commitSent:
+		detail = detailCommitUnknown
+	case s.txStatus != statusIdle:
 		detail = detailRolledBack
 	}
 	s.ended = true
@@ -101,9 +104,16 @@
 	}
 }
 
-// EndByDrain ends the session because its engine drains.
-func (s *Session) EndByDrain() Termination {
+// EndByDrain ends the session because its engine drains. busy is as in ConnectionLost.
+func (s *Session) EndByDrain(busy bool) Termination {
 	s.ended = true
+	if busy && s.commitSent {
+		return Termination{
+			Code:    sqlstate.TransactionResolutionUnknown,
+			Message: "the engine that this session was kept on drains, and has not answered COMMIT",
+			Detail:  detailCommitUnknown,
+		}
+	}
 	detail := "What was kept there is gone; a new session will be on another engine."
 	if s.txStatus != statusIdle {
 		detail = detailRolledBack
--- a/internal/dispatch/verdict/verdict.go
+++ b/internal/dispatch/verdict/verdict.go
@@ -115,6 +115,14 @@
 		Message: "canceling statement due to user request", MayHaveRun: true}
 }
 
+// CommitUndecided returns the verdict on a query with a COMMIT that has reached its engine, if cause ends the wait
+// for the engine's answer: the transaction may still be committed.
+func CommitUndecided(cause *Verdict) *Verdict {
+	return &Verdict{Kind: Failed, Code: codeTransactionStateUnknown,
+		Message: "the engine has not answered COMMIT: " + cause.Message,
+		Detail:  "It is not known whether the transaction is in force.", MayHaveRun: true}
+}
+
 // ConnectionLost returns the verdict on a query whose session lost its engine connection. Package affinity
 // supplies the code and the texts.
 func ConnectionLost(code, message, detail string) *Verdict {
--- a/internal/frontend/flightsql/scope.go
+++ b/internal/frontend/flightsql/scope.go
@@ -242,6 +242,9 @@
 		sc.mu.Unlock()
 		return v
 	}
+	if sc.affinity.CommitSent() {
+		v = verdict.CommitUndecided(v)
+	}
 	registry := sc.session.server.cfg.Registry
 	changed, known := sc.affinity.AnsweredEarly(registry.Now(), sent)
 	bound := sc.affinity.Bound()
--- a/internal/frontend/pgfrontend/sink.go
+++ b/internal/frontend/pgfrontend/sink.go
@@ -101,6 +101,9 @@
 	if !sent {
 		return v, t, false
 	}
+	if a.CommitSent() {
+		v = verdict.CommitUndecided(v)
+	}
 	if c.unsentBytes() > c.maxUnsentBytes() {
 		return v, a.EndByUnreadAnswer(), true
 	}
--- a/internal/server/early_answer_test.go
+++ b/internal/server/early_answer_test.go
@@ -49,9 +49,11 @@
 // wantError returns the error that takes the place of the engine's answer.
 func (a earlyAnswer) wantError() string {
 	switch {
+	case a.state == "commit":
+		return "E:08007"
 	case a.way == "cancel request":
 		return "E:57014"
-	case a.state == "copy", a.state == "commit": // they may not be repeated
+	case a.state == "copy": // it may not be repeated
 		return "E:08007"
 	}
 	return "E:53000"
@@ -341,7 +343,8 @@
 }
 
 // TestSessionEndsOverRunningStatement guards against an engine connection that other clients use after its
-// session has ended over a statement that the engine still runs.
+// session has ended over a statement that the engine still runs, and against a COMMIT without an answer that is
+// reported as rolled back.
 func TestSessionEndsOverRunningStatement(t *testing.T) {
 	for _, way := range []string{"engine drains", "dispatcher ends", "client disconnects"} {
 		for _, state := range []string{"transaction", "temporary table", "copy", "commit"} {
@@ -372,7 +375,10 @@
 		c.conn.Close()
 	}
 	seen := <-answered
-	const want = "E:57P01"
+	want := "E:57P01"
+	if a.state == "commit" {
+		want = "E:08007"
+	}
 	if way != "client disconnects" && (countPrefix(seen, want) == 0 || countPrefix(seen, "C:") > 0) {
 		t.Errorf("answered %v, want %s", seen, want)
 	}
