An error that the dispatcher gives in a transaction fails the transaction

Seen: the dispatcher rejects a statement of a transaction before an engine receives it (no engine may run it, an unknown class), or answers a message with an error itself (a Bind of an unknown statement). The client got the error with status T, and its COMMIT committed the transaction without that statement.

Cause: by design a rejection left the transaction as it was, and pgsession.failStatement did not look at it. PostgreSQL aborts a transaction block at any error; scripts, pipelines and drivers that send COMMIT after an error rely on it.

Change: the status is E after such an error, and the engine's transaction is failed before the next statement is sent (Lease.RestoreStatus); ROLLBACK TO a savepoint goes on from there.

--- a/internal/affinity/session.go
+++ b/internal/affinity/session.go
@@ -207,6 +207,16 @@
 	return s.updateBound(now), known
 }
 
+// FailTransaction records that the client received an error for a message that was not sent to the engine. It
+// reports whether an open transaction has failed by it: the engine connection must be brought to that status.
+func (s *Session) FailTransaction() bool {
+	if s.txStatus != statusInTransaction {
+		return false
+	}
+	s.txStatus = statusFailedTransaction
+	return true
+}
+
 // CommitSent reports whether the statements that were sent last contain a COMMIT. Once they have reached the
 // engine, only its answer decides whether the transaction is committed.
 func (s *Session) CommitSent() bool { return s.commitSent }
--- a/internal/backend/pgbackend/restore_test.go
+++ b/internal/backend/pgbackend/restore_test.go
@@ -160,6 +160,27 @@
 	}
 }
 
+// TestRejectedStatementFailsTransaction guards against a transaction that is committed without one of its
+// statements, because the dispatcher rejected the statement before the engine received it.
+func TestRejectedStatementFailsTransaction(t *testing.T) {
+	conn, written := newPipedConn(t)
+	session := &recordedSession{}
+	session.lease.acquire(conn)
+	conn.lease.Store(&session.lease)
+	conn.status = enginequery.StatusInTransaction
+	session.lease.RestoreStatus(enginequery.StatusFailedTransaction)
+	if request := <-written; !strings.Contains(request, failTransaction) {
+		t.Errorf("sent %q", request)
+	}
+	conn.start(session.newAttempt("commit"))
+	if err := receive(t, conn, syntaxError, readyMessage("E")); err != nil {
+		t.Fatal(err)
+	}
+	if request := <-written; !strings.Contains(request, "commit") {
+		t.Errorf("sent %q, want the COMMIT, which the engine answers with ROLLBACK", request)
+	}
+}
+
 // TestWaitingAttemptsEndWithConnection guards against a statement that gets no answer because it waited for a
 // connection that closed.
 func TestWaitingAttemptsEndWithConnection(t *testing.T) {
--- a/internal/frontend/flightsql/scope.go
+++ b/internal/frontend/flightsql/scope.go
@@ -238,11 +238,7 @@
 		return v
 	}
 	sent := sc.lease.Sent(c.query.EngineQuery)
-	if !sent {
-		sc.mu.Unlock()
-		return v
-	}
-	if sc.affinity.CommitSent() {
+	if sent && sc.affinity.CommitSent() {
 		v = verdict.CommitUndecided(v)
 	}
 	registry := sc.session.server.cfg.Registry
--- a/internal/frontend/pgfrontend/pgsession/session.go
+++ b/internal/frontend/pgfrontend/pgsession/session.go
@@ -75,8 +75,10 @@
 	describePending bool   // the Describe of a portal waits for the next message
 	deferred        pgwire.Message
 	hasDeferred     bool
-	settings        settingTracker
-	startupReports  map[string]string // startup values of reported settings, by name in lower case
+	// failedTransaction means that an error of the session itself has failed a transaction.
+	failedTransaction bool
+	settings          settingTracker
+	startupReports    map[string]string // startup values of reported settings, by name in lower case
 
 	bytesAhead int        // bytes received but not yet handled
 	copyIn     bool       // in copy-in mode
@@ -125,6 +127,14 @@
 	return q
 }
 
+// TakeFailedTransaction reports whether an error of the session itself has failed a transaction since the last
+// call. The engine must be brought to that status before the next query is sent to it.
+func (s *Session) TakeFailedTransaction() bool {
+	failed := s.failedTransaction
+	s.failedTransaction = false
+	return failed
+}
+
 // CancelRequest returns the cancel request that arrived on this connection, or nil.
 func (s *Session) CancelRequest() *CancelRequest { return s.cancelRequest }
 
@@ -287,8 +297,12 @@
 }
 
 // failStatement answers a message with an ERROR. In the extended protocol, the messages up to Sync are then
-// skipped.
+// skipped. As any error does, it fails an open transaction.
 func (s *Session) failStatement(code, message string) {
 	s.out = pgwire.AppendFields(s.out, 'E', &pgwire.Fields{Severity: "ERROR", Code: code, Message: message})
 	s.skipToSync = true
+	if s.Affinity.FailTransaction() {
+		s.settings.transactionFailed()
+		s.failedTransaction = true
+	}
 }
--- a/internal/frontend/pgfrontend/sink.go
+++ b/internal/frontend/pgfrontend/sink.go
@@ -67,6 +67,7 @@
 		go c.readAvailable() // what the client sends now no longer belongs to the copy
 	}
 	c.session.QueryEnded(k.query.Kind, b, failed)
+	c.failEngineTransaction()
 	switch {
 	case ended:
 		c.session.Terminate(t.Code, terminationText(t))
@@ -81,6 +82,14 @@
 	}
 }
 
+// failEngineTransaction brings the engine connection to the status of a transaction that has failed by an error
+// of the session itself. The caller holds c.mu.
+func (c *client) failEngineTransaction() {
+	if c.session.TakeFailedTransaction() {
+		c.lease.RestoreStatus(c.session.Affinity.Status())
+	}
+}
+
 // answerEarly updates the session when its query ends with a verdict of the dispatcher. The engine may not have
 // received the query, or may still run it. reply is the verdict for the client. ended reports whether the
 // session ends with t. The caller holds c.mu.
@@ -98,10 +107,7 @@
 		return v, t, false
 	}
 	sent := c.lease.Sent(q)
-	if !sent {
-		return v, t, false
-	}
-	if a.CommitSent() {
+	if sent && a.CommitSent() {
 		v = verdict.CommitUndecided(v)
 	}
 	if c.unsentBytes() > c.maxUnsentBytes() {
