A Sync behind the Describe of a portal is answered where the Describe fails

Cause: Session.QueryEnded dropped the deferred message after an error, also where it was the Sync.

Change: the deferred message is always handled; after an error handleMessage skips all but Sync and Terminate.

Test: TestEachSyncIsAnsweredOnce draws pipelines, their pieces and how each query ends. It failed on the code before after 34 sequences ('0 times ready for 1 Syncs') and passes now.

--- a/internal/frontend/pgfrontend/pgsession/session.go
+++ b/internal/frontend/pgfrontend/pgsession/session.go
@@ -176,11 +176,10 @@
 	} else {
 		s.skipToSync = failed
 	}
-	if s.hasDeferred && !failed {
+	if s.hasDeferred {
 		s.hasDeferred = false
-		s.handleMessage(s.deferred)
+		s.handleMessage(s.deferred) // after an error, it is skipped unless it is a Sync
 	}
-	s.hasDeferred = false
 	s.processInput(nil)
 }
 
