--- a/internal/affinity/early_answer_test.go
+++ b/internal/affinity/early_answer_test.go
@@ -6,8 +6,8 @@
 	"cresspass/internal/protocol/sqlscan"
 )
 
-// TestAnsweredEarly guards against a session whose client goes on in a transaction after an error, or is told
-// that a transaction has failed whose COMMIT may have taken effect.
+// TestAnsweredEarly guards against a session whose client stays in a transaction after an error, or is
+// informed that a transaction has failed whose COMMIT may have taken effect.
 func TestAnsweredEarly(t *testing.T) {
 	for _, c := range []struct {
 		before string // a statement that has completed, with its status
--- a/internal/backend/pgbackend/ready.go
+++ b/internal/backend/pgbackend/ready.go
@@ -71,7 +71,7 @@
 	d := Disposition{}
 	committed := !retryable && a.Response.Commit(a.Number)
 	if !committed && c.answeredEarly(a) {
-		// The client was answered before the engine, and its session goes by that answer (restore.go). A
+		// The client was answered before the engine, and its session follows that answer (restore.go). A
 		// setting that changed outside a transaction stays changed, and the session does not know it.
 		return true, c.tainted || c.settingReported && status == enginequery.StatusIdle
 	}
--- a/internal/backend/pgbackend/restore_test.go
+++ b/internal/backend/pgbackend/restore_test.go
@@ -71,7 +71,7 @@
 // was answered before the engine, and its next statement was sent while the first one still ran.
 func TestAttemptWaitsForAnsweredStatement(t *testing.T) {
 	for name, c := range map[string]struct {
-		status   string // that the client was told
+		status   string // that the client received
 		answer   []pgwire.Message
 		restored string // the statement that restores the status; "": none
 		result   []pgwire.Message
@@ -134,7 +134,7 @@
 // its client knows.
 func TestUnrestoredConnectionIsClosed(t *testing.T) {
 	for name, c := range map[string]struct {
-		status byte // that the client was told
+		status byte // that the client received
 		answer []pgwire.Message
 	}{
 		"the statement that fails the transaction succeeds": {'E', []pgwire.Message{rowMessage,
--- a/internal/backend/sessionparams/tracker.go
+++ b/internal/backend/sessionparams/tracker.go
@@ -126,7 +126,7 @@
 }
 
 // AnsweredEarly records that the client received an error in place of the engine's answer to the query, and
-// the transaction status that it was told. ran reports whether the query had reached the engine, commits
+// the transaction status that it received. ran reports whether the query had reached the engine, commits
 // whether it contains a COMMIT. known is false if the session's settings depend on how the engine ends the
 // query.
 func (t *Tracker) AnsweredEarly(status byte, ran, commits bool) (known bool) {
--- a/internal/dispatch/response/response_test.go
+++ b/internal/dispatch/response/response_test.go
@@ -74,7 +74,7 @@
 			expect(t, "commit", r.Commit(0), true)
 			expect(t, "revoke", r.Revoke(0), false)
 			expect(t, "begin", r.BeginAttempt(1), false)
-			// The session has gone on by the engine's answer, so no other one may take its place.
+			// The session has taken over the state of the engine's answer, which must then reach the client.
 			expect(t, "verdict", r.FinishWithVerdict(rejection), false)
 			expect(t, "finish", r.Finish(0, []byte("ab"), false), true)
 			expect(t, "verdict", r.FinishWithVerdict(rejection), false)
--- a/internal/frontend/pgfrontend/pgsession/sync_test.go
+++ b/internal/frontend/pgfrontend/pgsession/sync_test.go
@@ -60,7 +60,7 @@
 	}
 }
 
-// TestEachSyncIsAnsweredOnce guards against a client that waits for ever: a Sync behind the Describe of a
+// TestEachSyncIsAnsweredOnce guards against a client that waits without end: a Sync behind the Describe of a
 // portal was dropped if the Describe failed.
 func TestEachSyncIsAnsweredOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/server/early_answer_test.go
+++ b/internal/server/early_answer_test.go
@@ -35,6 +35,7 @@
 	engineTime   = 600 * time.Millisecond // that the engine takes for the statement that is answered early
 	engineLag    = 900 * time.Millisecond // before the engine carries out a cancel request
 	answerWithin = 500 * time.Millisecond // of the statement's start, on a busy machine
+	hangTime     = 5 * time.Second        // that an engine which hangs takes for it
 )
 
 // earlyAnswer is one way in which the dispatcher answers a statement that its engine still runs.
@@ -42,6 +43,8 @@
 	way   string // "statement_timeout", "class deadline" or "cancel request"
 	state string // "transaction", "temporary table", "copy" or "commit"
 	next  string // what the client sends then
+
+	hangs bool // the engine ends the statement long after cancel_timeout
 }
 
 func (a earlyAnswer) String() string { return a.way + ", " + a.state + ", " + a.next }
@@ -165,6 +168,9 @@
 		}
 	}
 	milliseconds := engineTime.Milliseconds()
+	if a.hangs {
+		milliseconds = hangTime.Milliseconds()
+	}
 	slow += fmt.Sprintf(" /*id='%[1]s-slow',echo='%[1]s-slow',work_ms='%[2]d',state_ms='%[2]d',cost_ms='1'",
 		name, milliseconds)
 	if a.way == "class deadline" {
@@ -262,7 +268,7 @@
 		for _, state := range []string{"transaction", "temporary table", "copy", "commit"} {
 			for _, next := range []string{"statement", "commit", "rollback", "discard all", "pipeline",
 				"sync", "close"} {
-				all = append(all, earlyAnswer{way, state, next})
+				all = append(all, earlyAnswer{way: way, state: state, next: next})
 			}
 		}
 	}
@@ -398,3 +404,42 @@
 	}
 	eventually(t, "the engine has ended the session", func() bool { return r.Engines[0].Sessions() == 0 })
 }
+
+// TestSessionOnHangingEngine guards against a session that waits without end for an engine that does not end
+// a statement which was answered early. The session ends after cancel_timeout, unless nothing of it is left
+// there.
+func TestSessionOnHangingEngine(t *testing.T) {
+	r, s := startDispatcher(t, 2, strings.Replace(earlyAnswerSettings, `"4s"`, `"500ms"`, 1))
+	for _, e := range r.Engines {
+		e.SetFaults(standin.Faults{SlowCancel: hangTime})
+	}
+	var plays sync.WaitGroup
+	for state, want := range map[string][]string{
+		"transaction":     {"E:08006", "FATAL"},
+		"copy":            {"E:08006", "FATAL"},
+		"temporary table": {"E:57P02", "FATAL"},
+		"commit":          {"D:own", "C:SELECT 1", "Z:I"},
+	} {
+		a := earlyAnswer{way: "cancel request", state: state, next: "statement", hangs: true}
+		plays.Go(func() {
+			c := dialServer(t, s)
+			slow, err := a.openState(c, "hangs-"+state)
+			if err != nil {
+				t.Errorf("%v: %v", a, err)
+				return
+			}
+			seen := a.answerEarly(c, s.Addr(), slow)
+			if !slices.Equal(seen, []string{a.wantError(), a.wantStatus()}) {
+				t.Errorf("%v: answered %v, want %s", a, seen, a.wantError())
+			}
+			begun := time.Now()
+			if seen := a.sendNext(c, "hangs-"+state); !slices.Equal(seen, want) {
+				t.Errorf("%v: then answered %v, want %v", a, seen, want)
+			}
+			if took := time.Since(begun); took > hangTime/2 {
+				t.Errorf("%v: then answered after %v, with the engine and not before", a, took)
+			}
+		})
+	}
+	plays.Wait()
+}
