--- a/internal/frontend/pgfrontend/pgsession/settingscope_test.go
+++ b/internal/frontend/pgfrontend/pgsession/settingscope_test.go
@@ -26,7 +26,7 @@
 	}
 }
 
-// Guards against a time limit that was set in a transaction and still holds after an error, which has undone it.
+// Guards against a time limit that was set in a transaction and still holds after an error.
 func TestErrorUndoesSettingsOfTransaction(t *testing.T) {
 	const limit = "set statement_timeout = 50"
 	for name, c := range map[string]struct {
