Flight SQL: a COMMIT that the engine answers with ROLLBACK is not reported as done

Seen: a client asks for the commit while a statement of its transaction still runs, and the statement is then answered by its deadline. The engine rolls back; EndTransaction reports success.

Cause: scope.commit read the status of the transaction before its COMMIT had waited for its turn, and executeUpdate threw the command tag away (flightsql/transaction.go, query.go).

Change: the tag of the engine's answer decides. executeToEnd returns it.

Test: TestFlightCommitBehindFailingStatement; on the code before: 'commit: <nil>, want Aborted'.

--- a/internal/frontend/flightsql/query.go
+++ b/internal/frontend/flightsql/query.go
@@ -245,23 +245,26 @@
 
 // executeUpdate runs a statement and returns how many rows it changed.
 func (s *Server) executeUpdate(ctx context.Context, sc *scope, st statement) (int64, error) {
+	tag, err := s.executeToEnd(ctx, sc, st)
+	return affectedRows(tag), err
+}
+
+// executeToEnd runs a statement and returns its command tag, or "" for an empty statement.
+func (s *Server) executeToEnd(ctx context.Context, sc *scope, st statement) (tag string, err error) {
 	st.kind = enginequery.Execute
 	switch len(st.parsed) {
 	case 0:
-		return 0, nil
+		return "", nil
 	case 1:
 	default:
-		return 0, invalidCall(codes.InvalidArgument, "more than one statement in an update")
+		return "", invalidCall(codes.InvalidArgument, "more than one statement in an update")
 	}
 	c, err := s.startStatement(ctx, sc, st)
 	if err != nil {
-		return 0, err
-	}
-	tag, _, err := c.readToEnd(ctx)
-	if err != nil {
-		return 0, err
+		return "", err
 	}
-	return affectedRows(tag), nil
+	tag, _, err = c.readToEnd(ctx)
+	return tag, err
 }
 
 // affectedRows returns the count in a command tag ("CommandComplete"); 0 for a tag without one.
--- a/internal/frontend/flightsql/transaction.go
+++ b/internal/frontend/flightsql/transaction.go
@@ -7,7 +7,6 @@
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"google.golang.org/grpc/codes"
 
-	"cresspass/internal/backend/enginequery"
 	"cresspass/internal/dispatch/verdict"
 	"cresspass/internal/frontend/flightsql/arrowbatch"
 	"cresspass/internal/protocol/sqlstate"
@@ -20,16 +19,15 @@
 	maxSavepoints        = 10000 // remembered by a session; at the limit it forgets all
 )
 
-// runStatement runs a statement of the frontend itself, such as BEGIN, in the scope. Like any statement it is
-// admitted and placed, and may be rejected.
-func (sc *scope) runStatement(ctx context.Context, text string) error {
+// runStatement runs a statement of the frontend itself, such as BEGIN, in the scope, and returns its command
+// tag. Like any statement it is admitted and placed, and may be rejected.
+func (sc *scope) runStatement(ctx context.Context, text string) (tag string, err error) {
 	bindBody, err := arrowbatch.AppendBind(nil, nil, 0, nil)
 	if err != nil {
-		return err
+		return "", err
 	}
 	s := sc.session.server
-	_, err = s.executeUpdate(ctx, sc, statement{text: text, parsed: s.scan(text), bindBody: bindBody})
-	return err
+	return s.executeToEnd(ctx, sc, statement{text: text, parsed: s.scan(text), bindBody: bindBody})
 }
 
 // BeginTransaction opens a transaction, which has an engine connection of its own, and returns its id.
@@ -43,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := sc.runStatement(ctx, "BEGIN"); err != nil {
+	if _, err := sc.runStatement(ctx, "BEGIN"); err != nil {
 		sess.mu.Lock()
 		delete(sess.transactions, sc.transactionID)
 		sess.mu.Unlock()
@@ -117,21 +115,23 @@
 	case flightsql.EndTransactionCommit:
 		return sc.commit(ctx)
 	case flightsql.EndTransactionRollback:
-		return sc.runStatement(ctx, "ROLLBACK")
+		_, err := sc.runStatement(ctx, "ROLLBACK")
+		return err
 	}
 	return invalidCall(codes.InvalidArgument, "neither commit nor rollback is asked for")
 }
 
+// tagRollback is the command tag of ROLLBACK, and of the COMMIT of a failed transaction.
+const tagRollback = "ROLLBACK"
+
 // commit commits a transaction. PostgreSQL answers the COMMIT of a failed transaction with the tag ROLLBACK
 // and no error. commit returns an error then: the client would otherwise take the transaction for committed.
 func (sc *scope) commit(ctx context.Context) error {
-	sc.mu.Lock()
-	failed := sc.affinity.Status() == enginequery.StatusFailedTransaction
-	sc.mu.Unlock()
-	if err := sc.runStatement(ctx, "COMMIT"); err != nil {
+	tag, err := sc.runStatement(ctx, "COMMIT")
+	if err != nil {
 		return err
 	}
-	if failed {
+	if tag == tagRollback {
 		return invalidCall(codes.Aborted, "a statement of the transaction had failed: it was rolled back")
 	}
 	return nil
@@ -148,7 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := sc.runStatement(ctx, "SAVEPOINT "+quoteIdentifier(req.GetName())); err != nil {
+	if _, err := sc.runStatement(ctx, "SAVEPOINT "+quoteIdentifier(req.GetName())); err != nil {
 		return nil, err
 	}
 	id := savepointPrefix + newRandomID()
@@ -179,7 +179,7 @@
 	}
 	switch req.GetAction() {
 	case flightsql.EndSavepointRelease:
-		if err := sc.runStatement(ctx, "RELEASE SAVEPOINT "+quoteIdentifier(p.name)); err != nil {
+		if _, err := sc.runStatement(ctx, "RELEASE SAVEPOINT "+quoteIdentifier(p.name)); err != nil {
 			return err
 		}
 		sess.mu.Lock()
@@ -187,7 +187,8 @@
 		sess.mu.Unlock()
 		return nil
 	case flightsql.EndSavepointRollback:
-		return sc.runStatement(ctx, "ROLLBACK TO SAVEPOINT "+quoteIdentifier(p.name))
+		_, err := sc.runStatement(ctx, "ROLLBACK TO SAVEPOINT "+quoteIdentifier(p.name))
+		return err
 	}
 	return invalidCall(codes.InvalidArgument, "neither release nor rollback is asked for")
 }
--- a/internal/server/flight_early_answer_test.go
+++ b/internal/server/flight_early_answer_test.go
@@ -93,3 +93,32 @@
 		t.Errorf("rollback: %v", err)
 	}
 }
+
+// TestFlightCommitBehindFailingStatement guards against a transaction that is reported as committed, because a
+// statement of it failed after the client had asked for the commit.
+func TestFlightCommitBehindFailingStatement(t *testing.T) {
+	r, s := startDispatcher(t, 1, strings.Replace(flightSettings, baseSettings, earlyAnswerSettings, 1))
+	r.Engines[0].SetFaults(standin.Faults{SlowCancel: engineLag})
+	c := dialFlight(t, s, "u")
+	tx, err := c.BeginTransaction(c.ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	info, err := tx.Execute(c.ctx, "select 1 /*work_ms='600',cost_ms='1',class='brief'*/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	committed := make(chan error, 1)
+	time.AfterFunc(answerWithin/5, func() { committed <- tx.Commit(c.ctx) })
+	if _, err := c.rows(c.ctx, info); err == nil {
+		t.Error("the statement was answered by its engine")
+	}
+	if err := <-committed; status.Code(err) != codes.Aborted {
+		t.Errorf("commit: %v, want Aborted", err)
+	}
+	for _, run := range r.Engines[0].Runs() {
+		if run.Class == "COMMIT" {
+			t.Error("the engine has committed the transaction")
+		}
+	}
+}
