--- a/internal/server/flight_early_answer_test.go
+++ b/internal/server/flight_early_answer_test.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"cresspass/internal/discovery/eds"
 	"cresspass/internal/standin"
 )
 
@@ -122,3 +123,44 @@
 		}
 	}
 }
+
+// TestFlightCommitUndecided guards against a Flight transaction that is reported as rolled back or refused while
+// its COMMIT is out and takes effect.
+func TestFlightCommitUndecided(t *testing.T) {
+	settings := strings.Replace(flightSettings, baseSettings, earlyAnswerSettings, 1)
+	settings = strings.Replace(settings, "class \"write\" {\n  aim      = \"4s\"\n  deadline = \"5s\"",
+		"class \"write\" {\n  aim      = \"400ms\"\n  deadline = \"400ms\"", 1)
+	r, s := startDispatcher(t, 1, settings)
+	link := newSilentLink(t, r.Engines[0].Addr())
+	r.UpdateEngine(0, func(e *eds.Engine) { e.Address = link.addr() })
+	c := dialFlight(t, s, "u")
+	var tx *flightsql.Txn
+	eventually(t, "a transaction on the engine behind the link", func() (ok bool) {
+		var err error
+		if tx, err = c.BeginTransaction(c.ctx); err != nil {
+			return false
+		}
+		_, err = tx.ExecuteUpdate(c.ctx, "insert into t values (1)")
+		return err == nil
+	})
+	link.silent.Store(true)
+	begun := time.Now()
+	err := tx.Commit(c.ctx)
+	if err == nil || !strings.Contains(err.Error(), "has not answered COMMIT") {
+		t.Errorf("commit: %v, want that its end is not known", err)
+	}
+	if took := time.Since(begun); took > 3*time.Second {
+		t.Errorf("answered after %v, long after the deadline", took)
+	}
+	link.silent.Store(false)
+	eventually(t, "the engine has ended the session", func() bool { return r.Engines[0].Sessions() == 0 })
+	committed := 0
+	for _, run := range r.Engines[0].Runs() {
+		if run.Class == "COMMIT" {
+			committed++
+		}
+	}
+	if committed != 1 {
+		t.Errorf("committed %d times", committed)
+	}
+}
