--- a/internal/server/flight_early_answer_test.go
+++ b/internal/server/flight_early_answer_test.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// TestFlightCommitBehindFailingStatement guards against a transaction that is reported as committed, because a
-// statement of it failed after the client had asked for the commit.
+// TestFlightCommitBehindFailingStatement guards against a transaction that is reported as committed, because
+// a statement of it failed after the client had asked for the commit.
 func TestFlightCommitBehindFailingStatement(t *testing.T) {
 	r, s := startDispatcher(t, 1, strings.Replace(flightSettings, baseSettings, earlyAnswerSettings, 1))
 	r.Engines[0].SetFaults(standin.Faults{SlowCancel: engineLag})
@@ -124,8 +124,8 @@
 	}
 }
 
-// TestFlightCommitUndecided guards against a Flight transaction that is reported as rolled back or refused while
-// its COMMIT is out and takes effect.
+// TestFlightCommitUndecided guards against a Flight transaction that is reported as rolled back or refused
+// while its COMMIT is out and takes effect.
 func TestFlightCommitUndecided(t *testing.T) {
 	settings := strings.Replace(flightSettings, baseSettings, earlyAnswerSettings, 1)
 	settings = strings.Replace(settings, "class \"write\" {\n  aim      = \"4s\"\n  deadline = \"5s\"",
--- a/internal/server/silent_link_test.go
+++ b/internal/server/silent_link_test.go
@@ -8,8 +8,8 @@
 	"time"
 )
 
-// silentLink is the way to an engine. While it is silent, what the engine sends is held back; connections stay
-// open.
+// silentLink is the way to an engine. While it is silent, what the engine sends is held back; connections
+// stay open.
 type silentLink struct {
 	silent   atomic.Bool
 	listener net.Listener
