TestFlightCommitUndecided: the dispatcher knows the engine by its link from the start

Seen: 1 of 9 plays, three at a time beside 8 busy processes ('the engine has ended the session: not within 10 s'); 7 of 96 single plays, eight at a time beside 8.

Change: the address is listed before the dispatcher starts, and the class has 2 s.

--- a/internal/server/flight_early_answer_test.go
+++ b/internal/server/flight_early_answer_test.go
@@ -129,23 +129,26 @@
 func TestFlightCommitUndecided(t *testing.T) {
 	settings := strings.Replace(flightSettings, baseSettings, earlyAnswerSettings, 1)
 	settings = strings.Replace(settings, "class \"write\" {\n  aim      = \"4s\"\n  deadline = \"5s\"",
-		"class \"write\" {\n  aim      = \"400ms\"\n  deadline = \"400ms\"", 1)
-	r, s := startDispatcher(t, 1, settings)
+		"class \"write\" {\n  aim      = \"2s\"\n  deadline = \"2s\"", 1)
+	r := startEngines(t, 1)
 	link := newSilentLink(t, r.Engines[0].Addr())
 	r.UpdateEngine(0, func(e *eds.Engine) { e.Address = link.addr() })
+	s, err := r.StartDispatcher(settings, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
 	c := dialFlight(t, s, "u")
-	var tx *flightsql.Txn
-	eventually(t, "a transaction on the engine behind the link", func() (ok bool) {
-		var err error
-		if tx, err = c.BeginTransaction(c.ctx); err != nil {
-			return false
-		}
-		_, err = tx.ExecuteUpdate(c.ctx, "insert into t values (1)")
-		return err == nil
-	})
+	tx, err := c.BeginTransaction(c.ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.ExecuteUpdate(c.ctx, "insert into t values (1)"); err != nil {
+		t.Fatal(err)
+	}
 	link.silent.Store(true)
 	begun := time.Now()
-	err := tx.Commit(c.ctx)
+	err = tx.Commit(c.ctx)
 	if err == nil || !strings.Contains(err.Error(), "has not answered COMMIT") {
 		t.Errorf("commit: %v, want that its end is not known", err)
 	}
