--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,245 +1,133 @@
 //go:build review
 
-// Case 10: the second copy of a load's answer, some milliseconds late, is taken for the answer to the next
-// load, which is given up before it has ended.
+// Case 10: after a restart of a killed dispatcher, loads of one key run in another order than it took them.
 package main
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
+	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
+	"cresspass/internal/rehearsal/testbed"
+	"cresspass/internal/standin"
 	"cresspass/review/lab2"
 )
 
-const settings = `{"classes":[{"name":"index-load","aim-us":5000000,"deadline-us":9000000,"importance":1.0,
-"semantics":"keyed","key-scope":"all","window-us":15000000}],"shapes":["k"],"specifics":{"class-threads":[1],
-"cpu-of-kind":[8],"kind-memory-mb":[16384.0],"writes-tables":[true]},"limits":{"cancel":true,"may-probe":true,
-"may-duplicate":false,"max-attempts":4,"retry-after":true,"max-retry-after-us":2000000,
-"connect-timeout-us":250000,"conn-idle-us":15000000},"rules":{"grace-to-answer-us":5000,
-"stop-sending-within-us":2000000,"settle-after-doubt-us":500000},"peers-total":1,"ordinal":0,"tick-us":1000,
-"tenants":[],"zone":"z","membership-mode":"push"}`
-
 const (
-	limit = 8 * time.Second
-	// The second copy of an answer comes so long after the answer.
-	copyAfter = 35 * time.Millisecond
-	// The last load is sent so long after the answer that has a copy, the others with a longer pause.
-	lastAfter  = 26 * time.Millisecond
-	otherPause = 100 * time.Millisecond
-	// How long the loads run.
-	shortLoad, lastLoad = 5 * time.Millisecond, 3 * time.Second
-	// Times of the protocol.
-	longPoll     = 250 * time.Millisecond
-	abandonAfter = 2 * time.Second
-
-	loaded = "sales_3\t1\tloaded\n" // the result of every load
-	lastID = "00000000000000b1"
+	loads   = 8
+	spacing = 15 * time.Millisecond // between two loads: they are taken in the order in which they are sent
+	work    = 60                    // ms, of each load
+	// The load that is out as the dispatcher is killed.
+	firstWork = 1500 // ms
+	killAfter = 500 * time.Millisecond
 )
 
-// load is a load at the compute node.
-type load struct {
-	takes   time.Duration
-	asked   time.Time
-	ended   chan struct{} // closed when it has run or is given up
-	applied bool          // it has run; valid once ended is closed
-	told    bool          // its answer was written
-}
-
-// computeNode is a compute node that writes its answers by itself.
-type computeNode struct {
-	lab *lab2.Lab
-
-	mu       sync.Mutex
-	loads    map[string]*load
-	copyNext bool // the next answer gets a copy
+// loadClass is the class of the loads: keyed, dropped by all engines for 15 s, in order for each key.
+const loadClass = `
+state = "%s"
+
+class "index-load" {
+  aim      = "4s"
+  deadline = "25s"
+  worth    = 8
+  threads  = 2
+  effect   = "keyed"
+  window   = "15s"
+  in_order = true
+  loads    = true
 }
+`
 
 func main() {
 	l := lab2.New("review/10")
-	n := &computeNode{lab: l, loads: map[string]*load{}}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	l.Check(err)
-	go n.accept(ln)
-	board := l.NewBoard(lab2.Endpoint{ID: "s-1", Addr: ln.Addr().String(), Zone: "z", Kind: "k", State: "up",
-		Weight: 1})
-	_, addr := l.StartNode(board, 128, 512, settings)
-	c, err := lab2.DialNode(addr)
-	l.Check(err)
-	for i := range 3 {
-		if i == 2 {
-			n.mu.Lock()
-			n.copyNext = l.Trouble
-			n.mu.Unlock()
-		}
-		n.ask(c, fmt.Sprintf("%016x", 0xa1+i))
-		if i < 2 {
-			time.Sleep(otherPause)
-		}
+	group := standin.NewDeduplicationGroup()
+	var engines []*standin.Engine
+	var addrs []string
+	for i := range 2 {
+		e, err := standin.NewEngine(standin.EngineConfig{Listen: "127.0.0.1:0", Seed: uint64(i), Group: group,
+			Kind: testbed.EngineKind(8, 4096), ProgressEvery: 2 * time.Second, Window: 15 * time.Second})
+		l.Check(err)
+		engines, addrs = append(engines, e), append(addrs, e.Addr())
 	}
-	time.Sleep(lastAfter)
-	if n.ask(c, lastID) == "answer" {
-		time.Sleep(lastLoad) // what the dispatcher does about the load after its answer
-		n.mu.Lock()
-		last := n.loads[lastID]
-		n.mu.Unlock()
-		select {
-		case <-last.ended:
-		case <-time.After(2 * abandonAfter):
-		}
-		if !last.applied {
-			l.Break("%s was served, and its load was never applied", lastID)
-		}
+	addr := l.FreeAddr()
+	settings := fmt.Sprintf(lab2.ServeSettings, addr, l.StartRoster(addrs...))
+	settings = strings.Replace(settings, "rules {", "rules {\n  order_rest  = \"500ms\"", 1) +
+		fmt.Sprintf(loadClass, filepath.Join(l.Dir, "state"))
+	path := l.WriteFile("serve.hcl", settings)
+
+	dispatcher := l.StartServe("dispatcher", path)
+	c, err := lab2.DialPG(addr)
+	l.Check(err)
+	l.Note("client 0 sends L0")
+	l.Check(c.Send(load("L0", firstWork)))
+	time.Sleep(killAfter)
+	if l.Trouble {
+		l.Note("SIGKILL to the dispatcher, which is started again at once")
+		l.Check(dispatcher.Signal(syscall.SIGKILL))
+		<-dispatcher.Ended()
+		l.StartServe("dispatcher-again", path)
 	}
+	sendLoads(l, addr)
+	judge(l, engines)
 	l.Finish()
 }
 
-// ask sends a load, and checks that it is not served before the compute node has answered for it.
-func (n *computeNode) ask(c *lab2.Client, id string) (kind string) {
-	l := n.lab
-	l.Note("the client sends %s", id)
-	_, err := c.Send(lab2.Request{ID: id, Class: "index-load", Limit: limit, Cost: 100 * time.Millisecond,
-		Body: "insert into sales_3.t values (1)", More: map[string]string{"unique": id + id}})
-	l.Check(err)
-	c.Conn.SetReadDeadline(time.Now().Add(limit + time.Second))
-	got := c.Read()
-	n.mu.Lock()
-	told := n.loads[id] != nil && n.loads[id].told
-	n.mu.Unlock()
-	l.Note("the client received %s %q", got.Kind, got.Text)
-	if got.Kind == "answer" && !told {
-		l.Break("%s was served, and its compute node had made no answer for it", id)
-	}
-	return got.Kind
+// load returns the statement of a load of the key.
+func load(id string, workMS int) string {
+	return fmt.Sprintf("insert into repo_7.files values (1) /*class='index-load',key='repo-7',id='%s',"+
+		"work_ms='%d',cost_ms='%d',loads='1',tables='7'*/", id, workMS, workMS)
 }
 
-func (n *computeNode) accept(ln net.Listener) {
-	for {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		go n.serve(conn)
+// sendLoads sends the loads L1, L2, ..., each on a connection of its own that was opened before, and waits
+// for their answers.
+func sendLoads(l *lab2.Lab, addr string) {
+	var clients []*lab2.PGClient
+	for range loads {
+		c, err := lab2.DialPG(addr)
+		l.Check(err)
+		c.Conn.SetDeadline(time.Now().Add(30 * time.Second))
+		clients = append(clients, c)
 	}
-}
-
-// serve answers the calls on a connection, one after another.
-func (n *computeNode) serve(conn net.Conn) {
-	defer conn.Close()
-	reader := bufio.NewReader(conn)
-	var writing sync.Mutex
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err = io.Copy(io.Discard, r.Body); err != nil {
-			return
-		}
-		answer, again := n.answer(r)
-		writing.Lock()
-		_, err = io.WriteString(conn, answer)
-		writing.Unlock()
-		if err != nil {
-			return
-		}
-		if again {
-			time.AfterFunc(copyAfter, func() {
-				writing.Lock()
-				defer writing.Unlock()
-				n.lab.Note("the compute node sends a second copy of that answer")
-				io.WriteString(conn, answer)
-			})
-		}
+	var all sync.WaitGroup
+	for i, c := range clients {
+		id := fmt.Sprintf("L%d", i+1)
+		l.Check(c.Send(load(id, work)))
+		l.Note("client %d sends %s", i+1, id)
+		all.Go(func() {
+			reply, err := c.ReadUntilReady()
+			l.Note("%s answered: %v, %v", id, reply, err)
+		})
+		time.Sleep(spacing)
 	}
+	all.Wait()
 }
 
-// answer answers a call. again means that a copy of the answer follows.
-func (n *computeNode) answer(r *http.Request) (text string, again bool) {
-	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
-	id := r.Header.Get("X-Ticket")
-	if len(parts) > 1 {
-		id = parts[1]
-	}
-	n.mu.Lock()
-	q := n.loads[id]
-	if q == nil && r.Method == http.MethodPost {
-		q = &load{takes: shortLoad, ended: make(chan struct{})}
-		if id == lastID {
-			q.takes = lastLoad
+// judge checks that the engines ran L1, L2, ... in this order, one at a time. Loads that were refused or
+// failed are left out.
+func judge(l *lab2.Lab, engines []*standin.Engine) {
+	var runs []standin.Run
+	for _, e := range engines {
+		for _, r := range e.Runs() {
+			if strings.HasPrefix(r.ID, "L") && r.ID != "L0" && r.Outcome == standin.OutcomeDone {
+				runs = append(runs, r)
+			}
 		}
-		n.loads[id] = q
-		n.lab.Note("the compute node has received %s, which takes %v", id, q.takes)
-		go n.run(id, q)
-	}
-	if q != nil {
-		q.asked = time.Now()
-	}
-	n.mu.Unlock()
-	switch {
-	case parts[0] != "x": // a probe
-		return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false
-	case r.Method == http.MethodDelete:
-		n.end(id, q, false, "deleted")
-		return "HTTP/1.1 204 No Content\r\n\r\n", false
-	case q == nil:
-		return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", false
 	}
-	select {
-	case <-q.ended:
-	case <-time.After(longPoll):
-		return "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", false
-	}
-	if !q.applied {
-		return "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", false
-	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	again, n.copyNext, q.told = n.copyNext, false, true
-	n.lab.Note("the compute node answers %s of %s: %q", r.Method, id, loaded)
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: %d\r\n\r\n", len(loaded))
-	return head + loaded, again
-}
-
-// run ends a load when its time is over, or when it was not asked for in 2 s.
-func (n *computeNode) run(id string, q *load) {
-	done := time.After(q.takes)
-	for {
-		n.mu.Lock()
-		rest := time.Until(q.asked.Add(abandonAfter))
-		n.mu.Unlock()
-		if rest <= 0 {
-			n.end(id, q, false, "not asked for in 2 s")
-			return
+	slices.SortFunc(runs, func(a, b standin.Run) int { return a.Begun.Compare(b.Begun) })
+	for i, r := range runs {
+		l.Note("engine: %s ran from %.3f to %.3f", r.ID, l.Second(r.Begun), l.Second(r.Ended))
+		if i > 0 && r.ID < runs[i-1].ID {
+			l.Break("%s was taken before %s and ran after it", r.ID, runs[i-1].ID)
 		}
-		select {
-		case <-done:
-			n.end(id, q, true, "applied")
-			return
-		case <-q.ended:
-			return
-		case <-time.After(rest):
+		if i > 0 && r.Begun.Before(runs[i-1].Ended) {
+			l.Break("%s and %s ran at the same time", r.ID, runs[i-1].ID)
 		}
 	}
-}
-
-// end ends a load, if it has not ended.
-func (n *computeNode) end(id string, q *load, applied bool, how string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if q == nil {
-		return
-	}
-	select {
-	case <-q.ended:
-	default:
-		n.lab.Note("the compute node: %s ended: %s", id, how)
-		q.applied = applied
-		close(q.ended)
+	if len(runs) < 2 {
+		l.Fail("%d loads were run: there is no order to judge", len(runs))
 	}
 }
