--- a/review/10/main.go
+++ b/review/10/main.go
@@ -1,133 +1,135 @@
 //go:build review
 
-// Case 10: after a restart of a killed dispatcher, loads of one key run in another order than it took them.
+// Case 10: some clients send hundreds of requests with long statements at once; the dispatcher goes over its
+// limit of memory.
 package main
 
 import (
 	"fmt"
-	"path/filepath"
-	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
-	"cresspass/internal/rehearsal/testbed"
-	"cresspass/internal/standin"
 	"cresspass/review/lab2"
 )
 
-const (
-	loads   = 8
-	spacing = 15 * time.Millisecond // between two loads: they are taken in the order in which they are sent
-	work    = 60                    // ms, of each load
-	// The load that is out as the dispatcher is killed.
-	firstWork = 1500 // ms
-	killAfter = 500 * time.Millisecond
-)
+const settings = `{"classes":[{"name":"lookup","aim-us":1000000,"deadline-us":3000000,"importance":1.0,
+"semantics":"safe","window-us":0}],"shapes":["k"],"specifics":{"class-threads":[1],"cpu-of-kind":[8],
+"kind-memory-mb":[16384.0]},"limits":{"cancel":true,"may-probe":true,"max-attempts":4,"retry-after":true,
+"max-retry-after-us":2000000,"connect-timeout-us":250000,"conn-idle-us":15000000},
+"rules":{"grace-to-answer-us":5000,"stop-sending-within-us":2000000},"peers-total":1,"ordinal":0,
+"tick-us":1000,"tenants":[],"zone":"z","membership-mode":"push"}`
 
-// loadClass is the class of the loads: keyed, dropped by all engines for 15 s, in order for each key.
-const loadClass = `
-state = "%s"
+const (
+	// Scored days allow 32 to 192 MB and 256 to 1,024 descriptors.
+	memoryMB = 64
+	sockets  = 1024
 
-class "index-load" {
-  aim      = "4s"
-  deadline = "25s"
-  worth    = 8
-  threads  = 2
-  effect   = "keyed"
-  window   = "15s"
-  in_order = true
-  loads    = true
-}
-`
+	strangers   = 4  // clients
+	connections = 10 // of each; a third of the descriptors is 341
+	openAtOnce  = 32 // requests on a connection, the most that may be open
+	// longStatement is the length of the strangers' statements in bytes, shortStatement that without the
+	// disruption.
+	longStatement  = 120_000
+	shortStatement = 100
+	limit          = 2500 * time.Millisecond
+	queryTakes     = 40 * time.Millisecond
+)
 
 func main() {
 	l := lab2.New("review/10")
-	group := standin.NewDeduplicationGroup()
-	var engines []*standin.Engine
-	var addrs []string
+	takes := func(string) time.Duration { return queryTakes }
+	var endpoints []lab2.Endpoint
 	for i := range 2 {
-		e, err := standin.NewEngine(standin.EngineConfig{Listen: "127.0.0.1:0", Seed: uint64(i), Group: group,
-			Kind: testbed.EngineKind(8, 4096), ProgressEvery: 2 * time.Second, Window: 15 * time.Second})
-		l.Check(err)
-		engines, addrs = append(engines, e), append(addrs, e.Addr())
+		n := l.NewNode(fmt.Sprintf("s-%d", i+1), takes, nil, nil)
+		n.Quiet = true
+		endpoints = append(endpoints, n.Endpoint("up"))
 	}
-	addr := l.FreeAddr()
-	settings := fmt.Sprintf(lab2.ServeSettings, addr, l.StartRoster(addrs...))
-	settings = strings.Replace(settings, "rules {", "rules {\n  order_rest  = \"500ms\"", 1) +
-		fmt.Sprintf(loadClass, filepath.Join(l.Dir, "state"))
-	path := l.WriteFile("serve.hcl", settings)
-
-	dispatcher := l.StartServe("dispatcher", path)
-	c, err := lab2.DialPG(addr)
-	l.Check(err)
-	l.Note("client 0 sends L0")
-	l.Check(c.Send(load("L0", firstWork)))
-	time.Sleep(killAfter)
+	dispatcher, addr := l.StartNode(l.NewBoard(endpoints...), memoryMB, sockets, settings)
+	var all sync.WaitGroup
+	stop := make(chan struct{})
+	var watch sync.WaitGroup
+	watch.Go(func() { watchMemory(l, dispatcher, stop) })
+	all.Go(func() { usual(l, addr) })
+	time.Sleep(time.Second)
+	length := shortStatement
 	if l.Trouble {
-		l.Note("SIGKILL to the dispatcher, which is started again at once")
-		l.Check(dispatcher.Signal(syscall.SIGKILL))
-		<-dispatcher.Ended()
-		l.StartServe("dispatcher-again", path)
+		length = longStatement
+	}
+	l.Note("%d other clients send %d requests each at once, with statements of %d bytes", strangers,
+		connections*openAtOnce, length)
+	for i := range strangers * connections {
+		c, err := lab2.DialNode(addr)
+		l.Check(err)
+		all.Go(func() { stranger(c, i, length) })
+	}
+	all.Wait()
+	close(stop)
+	watch.Wait()
+	if !dispatcher.Alive() {
+		l.Break("the dispatcher ended: %v", dispatcher.Err())
 	}
-	sendLoads(l, addr)
-	judge(l, engines)
 	l.Finish()
 }
 
-// load returns the statement of a load of the key.
-func load(id string, workMS int) string {
-	return fmt.Sprintf("insert into repo_7.files values (1) /*class='index-load',key='repo-7',id='%s',"+
-		"work_ms='%d',cost_ms='%d',loads='1',tables='7'*/", id, workMS, workMS)
-}
-
-// sendLoads sends the loads L1, L2, ..., each on a connection of its own that was opened before, and waits
-// for their answers.
-func sendLoads(l *lab2.Lab, addr string) {
-	var clients []*lab2.PGClient
-	for range loads {
-		c, err := lab2.DialPG(addr)
+// usual sends a short request every 50 ms for 4 s and records the answers.
+func usual(l *lab2.Lab, addr string) {
+	c, err := lab2.DialNode(addr)
+	l.Check(err)
+	kinds := map[string]int{}
+	for n := range 80 {
+		_, err := c.Send(lab2.Request{ID: fmt.Sprintf("ffff%012x", n), Class: "lookup", Limit: limit,
+			Cost: queryTakes, Body: "select 1 from sales_3.t"})
 		l.Check(err)
-		c.Conn.SetDeadline(time.Now().Add(30 * time.Second))
-		clients = append(clients, c)
-	}
-	var all sync.WaitGroup
-	for i, c := range clients {
-		id := fmt.Sprintf("L%d", i+1)
-		l.Check(c.Send(load(id, work)))
-		l.Note("client %d sends %s", i+1, id)
-		all.Go(func() {
-			reply, err := c.ReadUntilReady()
-			l.Note("%s answered: %v, %v", id, reply, err)
-		})
-		time.Sleep(spacing)
+		c.Conn.SetReadDeadline(time.Now().Add(2 * limit))
+		kinds[c.Read().Kind]++
+		time.Sleep(50 * time.Millisecond)
 	}
-	all.Wait()
+	l.Note("the usual client received %v", kinds)
 }
 
-// judge checks that the engines ran L1, L2, ... in this order, one at a time. Loads that were refused or
-// failed are left out.
-func judge(l *lab2.Lab, engines []*standin.Engine) {
-	var runs []standin.Run
-	for _, e := range engines {
-		for _, r := range e.Runs() {
-			if strings.HasPrefix(r.ID, "L") && r.ID != "L0" && r.Outcome == standin.OutcomeDone {
-				runs = append(runs, r)
+// stranger fills a connection with requests, all at once, and reads what comes.
+func stranger(c *lab2.Client, number, length int) {
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		c.Conn.SetReadDeadline(time.Now().Add(2 * limit))
+		for range openAtOnce {
+			if got := c.Read(); got.Kind == "closed" || got.Kind == "cut" {
+				return
 			}
 		}
+	})
+	body := "select 1 from sales_3.t where id in (" + strings.Repeat("7,", length/2) + "7)"
+	for n := range openAtOnce {
+		id := fmt.Sprintf("%08x%08x", number, n)
+		r := lab2.Request{ID: id, Class: "lookup", Limit: limit, Cost: queryTakes, Body: body}
+		if _, err := c.Send(r); err != nil {
+			break
+		}
 	}
-	slices.SortFunc(runs, func(a, b standin.Run) int { return a.Begun.Compare(b.Begun) })
-	for i, r := range runs {
-		l.Note("engine: %s ran from %.3f to %.3f", r.ID, l.Second(r.Begun), l.Second(r.Ended))
-		if i > 0 && r.ID < runs[i-1].ID {
-			l.Break("%s was taken before %s and ran after it", r.ID, runs[i-1].ID)
+	reading.Wait()
+	c.Conn.Close()
+}
+
+// watchMemory records the dispatcher's memory, and checks it against its limit. Pages of the program's file
+// do not count.
+func watchMemory(l *lab2.Lab, p *lab2.Proc, stop chan struct{}) {
+	most, noted := 0.0, time.Time{}
+	for {
+		now := p.ResidentMB("RssAnon")
+		if now > memoryMB && most <= memoryMB {
+			l.Break("the dispatcher holds %.0f MB (without its program's pages), its limit is %d MB", now,
+				memoryMB)
 		}
-		if i > 0 && r.Begun.Before(runs[i-1].Ended) {
-			l.Break("%s and %s ran at the same time", r.ID, runs[i-1].ID)
+		if most = max(most, now); time.Since(noted) > 200*time.Millisecond {
+			l.Note("memory: %.0f MB; the most so far: %.0f MB", now, most)
+			noted = time.Now()
+		}
+		select {
+		case <-stop:
+			l.Note("memory: the most was %.0f MB", most)
+			return
+		case <-time.After(5 * time.Millisecond):
 		}
-	}
-	if len(runs) < 2 {
-		l.Fail("%d loads were run: there is no order to judge", len(runs))
 	}
 }
