Node: bytes held for clients stay within a budget that follows from memory_mb

Cause: only counts were limited (32 requests on a connection, 128 KiB a message, connections by descriptors). The buffer of a message that is being read, the copy of an open request's statement and the write buffer of each connection to a compute node had no limit in bytes.

Change: internal/bytebudget. Bytes are reserved before they are read or kept; without room the rest of a message is skipped and its request rejected, which promises truly that nothing ran. Short messages keep a share of the budget. An accepted request takes over its buffer; a long statement is written behind the head of its call. A connection whose registry holds the request is spared.

The statistics line has the group "memory".

--- a/internal/frontend/thriftserver/message.go
+++ b/internal/frontend/thriftserver/message.go
@@ -4,13 +4,19 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/bytebudget"
 	"cresspass/internal/protocol/thrift"
 )
 
 // Message is a decoded frame.
 type Message struct {
+	// Memory is what the request of a dispatch call may hold. The registry keeps it with an accepted request,
+	// and releases it with that request. It is nil if the memory is not limited.
+	Memory *bytebudget.Reservation
+
 	request    thrift.Request
 	decodeErr  error // set if the frame can't be decoded
+	headerOnly bool  // the rest of the frame was not kept
 	event      cresspass.Event
 	params     Params
 	requestErr error // set if the request is invalid
@@ -44,10 +50,35 @@
 	return m
 }
 
+// DecodeHeader decodes the header of a frame of which only the beginning was kept. The message can only be
+// rejected.
+func (r *Registry) DecodeHeader(beginning []byte) (m Message) {
+	m.headerOnly = true
+	m.request.Header, m.decodeErr = thrift.ParseHeader(beginning)
+	return m
+}
+
+// IsDispatch reports whether the message is a dispatch call, whose request holds memory while it is open.
+func (m *Message) IsDispatch() bool {
+	return m.decodeErr == nil && m.request.Name == thrift.MethodDispatch
+}
+
 // HandleMessage handles a message that arrived on a connection. If its request is invalid, the reply contains
 // the reason. If the message can't be read, or the connection is closing or not registered, the result has
-// EndOfInput set. HandleMessage keeps no reference to the frame.
-func (r *Registry) HandleMessage(now time.Time, id ConnID, m Message) (result MessageResult) {
+// EndOfInput set. An accepted request refers to the frame, which must not change any more. In all other cases
+// HandleMessage keeps no reference to the frame.
+func (r *Registry) HandleMessage(now time.Time, id ConnID, m Message) MessageResult {
+	return r.handle(now, id, m, r.rejectNew)
+}
+
+// RejectRequest is HandleMessage for a message whose request can't be accepted because there is no memory for
+// it. Other calls than dispatch are handled as usual, unless only the beginning of the frame was kept.
+func (r *Registry) RejectRequest(now time.Time, id ConnID, m Message) MessageResult {
+	return r.handle(now, id, m, true)
+}
+
+// handle is HandleMessage, and RejectRequest if reject is set.
+func (r *Registry) handle(now time.Time, id ConnID, m Message, reject bool) (result MessageResult) {
 	c := r.conns[id]
 	if c == nil || c.closing {
 		return MessageResult{EndOfInput: true}
@@ -55,7 +86,7 @@
 	c.sentMessage, c.midMessage, c.lastActive = true, false, now
 	result, readable := m.check()
 	if readable {
-		result = r.call(now, id, c, &m)
+		result = r.call(now, id, c, &m, reject || m.headerOnly)
 	}
 	if result.Reply != nil {
 		c.unwritten++
@@ -67,6 +98,7 @@
 // client gets a reply if the header names a method.
 func (m *Message) check() (result MessageResult, readable bool) {
 	switch {
+	case m.headerOnly && !m.IsDispatch():
 	case m.decodeErr == nil:
 		readable = m.request.Type == thrift.Call || m.request.Type == thrift.Oneway
 	case m.request.Name != "":
@@ -77,11 +109,14 @@
 	return result, readable
 }
 
-// call handles a readable call.
-func (r *Registry) call(now time.Time, id ConnID, c *conn, m *Message) (result MessageResult) {
+// call handles a readable call. reject means that its request can't be accepted.
+func (r *Registry) call(now time.Time, id ConnID, c *conn, m *Message, reject bool) (result MessageResult) {
 	req := &m.request
 	switch req.Name {
 	case thrift.MethodDispatch:
+		if reject {
+			return r.reject(m)
+		}
 		return r.dispatch(now, id, c, m)
 	case thrift.MethodCancelRequest:
 		if open := c.open[req.Cancel.TargetSeq]; open != nil {
@@ -119,11 +154,8 @@
 	return MessageResult{Reply: r.otherReply(&m.request)}
 }
 
-// dispatch handles a dispatch call: it accepts or rejects a request.
+// dispatch handles a dispatch call: it accepts the request, or reports why it is invalid.
 func (r *Registry) dispatch(now time.Time, id ConnID, c *conn, m *Message) MessageResult {
-	if r.rejectNew {
-		return r.reject(m)
-	}
 	accepted, err := r.accept(now, id, c, m)
 	if err != nil {
 		return invalid(m, err)
--- a/internal/frontend/thriftserver/registry.go
+++ b/internal/frontend/thriftserver/registry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/bytebudget"
 )
 
 // MaxOpenRequests is how many requests may be open on a connection (PROTOCOL, clients to dispatchers).
@@ -27,7 +28,8 @@
 	ID       cresspass.QueryID
 	Conn     ConnID
 	Seq      int32
-	Deadline time.Time // until which the client waits
+	Deadline time.Time               // until which the client waits
+	Memory   *bytebudget.Reservation // what the request may hold; the registry releases it with the request
 }
 
 // ReplyTarget is the connection and the sequence number of a reply.
@@ -107,13 +109,14 @@
 	}
 	r.lastID++
 	req := &Request{Params: m.params, ID: r.lastID, Conn: id, Seq: seq,
-		Deadline: now.Add(m.event.RemainingDeadline)}
-	req.Body = append([]byte(nil), m.params.Body...) // copied, because the frame's buffer is reused
+		Deadline: now.Add(m.event.RemainingDeadline), Memory: m.Memory}
 	c.open[req.Seq], r.requests[req.ID], r.byTicket[req.Ticket] = req, req, req
 	return req, nil
 }
 
+// endRequest removes an open request.
 func (r *Registry) endRequest(c *conn, req *Request) {
+	req.Memory.Release()
 	delete(c.open, req.Seq)
 	delete(r.requests, req.ID)
 	delete(r.byTicket, req.Ticket)
--- a/internal/frontend/thriftserver/registry_test.go
+++ b/internal/frontend/thriftserver/registry_test.go
@@ -1,6 +1,7 @@
 package thriftserver
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -279,3 +280,33 @@
 		}
 	})
 }
+
+// TestHeaderOnlyMessages guards against a request that is accepted without its fields: where only the beginning
+// of a frame was kept, a dispatch call is rejected, and any other call ends the input.
+func TestHeaderOnlyMessages(t *testing.T) {
+	const beginning = 40 // bytes, which hold the header
+	r := New(&cfg)
+	r.AddConn(startOfTest, 1)
+	frame := dispatchFrame(7, "txn", ticket(1), "verb", "quick", "limit", "100")
+	for name, handle := range map[string]func(time.Time, ConnID, Message) MessageResult{
+		"HandleMessage": r.HandleMessage, "RejectRequest": r.RejectRequest,
+	} {
+		result := handle(startOfTest, 1, r.DecodeHeader(frame[:beginning]))
+		want := thrift.DispatchException{Which: thrift.ShedException}.Append(nil, 7)
+		if result.Accepted != nil || result.EndOfInput || !bytes.Equal(result.Reply, want) {
+			t.Errorf("%s of a dispatch call: %+v, want a rejection", name, result)
+		}
+		for _, other := range [][]byte{aliveFrame(8), cancelFrame(8, 7), {1, 2, 3}} {
+			result := handle(startOfTest, 1, r.DecodeHeader(other))
+			if !result.EndOfInput || result.Reply != nil {
+				t.Errorf("%s of %q: %+v, want the end of the input", name, other, result)
+			}
+		}
+	}
+	if result := r.RejectRequest(startOfTest, 1, r.Decode(frame)); !result.Rejected || result.Ticket != ticket(1) {
+		t.Errorf("a whole request without memory: %+v, want a rejection", result)
+	}
+	if n := r.OpenRequests(); n != 0 {
+		t.Errorf("%d requests are open", n)
+	}
+}
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -408,3 +409,24 @@
 		t.Errorf("%d DELETEs arrived, although the connection should have been refused", n)
 	}
 }
+
+// TestLongStatementIsForwardedUnchanged guards against a long statement that is forwarded spoilt or rejected:
+// a usual client's statement of 100 kB is read in steps, and written apart from the head of its call.
+func TestLongStatementIsForwardedUnchanged(t *testing.T) {
+	h := newHarness(t, 256)
+	var received []byte
+	h.node.setBodyHandler(func(_ string, body []byte) { received = body })
+	for _, length := range []int{1, freeMessageBytes, maxCopiedBody, maxCopiedBody + 1, 100_000} {
+		statement := bytes.Repeat([]byte("SELECT 1 -- ;'\x00\xff\r\n"), length)[:length]
+		client := h.dial()
+		client.conn.Write(thrift.Dispatch{Fields: requestFields(ticket(length), "quick", "2000"),
+			Body: statement}.Append(nil, 1))
+		if got := client.receive(); got.kind != "answer" || !strings.Contains(got.text, ticket(length)) {
+			t.Errorf("a statement of %d bytes: %s %q", length, got.kind, got.text)
+		}
+		if !bytes.Equal(received, statement) {
+			t.Errorf("a statement of %d bytes: the compute node received %d other bytes", length, len(received))
+		}
+	}
+	eventually(t, "all memory is released", func() bool { return h.memory.used() == 0 })
+}
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -17,7 +17,6 @@
 
 // Limits of a client's connection.
 const (
-	maxFrameBytes       = 128 << 10              // of a message
 	requestBufferBytes  = 1 << 10                // of a read: most messages fit
 	firstMessageTimeout = 2 * time.Second        // from connecting to the end of the first message
 	frameTimeout        = 2 * time.Second        // from a message's first byte to its last
@@ -43,8 +42,11 @@
 	closedByClient         closeReason = "client"
 )
 
-// reasonNotServing is the reason for rejecting a request that is read while the dispatcher does not serve.
-const reasonNotServing cresspass.Reason = "the dispatcher does not serve"
+// Reasons for rejecting a request that is read.
+const (
+	reasonNotServing cresspass.Reason = "the dispatcher does not serve"
+	reasonNoMemory   cresspass.Reason = "no memory for another request"
+)
 
 // Fault texts for requests that are open when their connection ends. They are part of the client protocol.
 const (
@@ -76,6 +78,7 @@
 	readDelay time.Duration // how long input that is read now may have been in the socket
 	emptyAt   time.Duration // when the socket was last seen empty, on the service's clock
 	readable  bool          // input was seen in the socket since the last read
+	message   messageBuffer // the message that is being read
 
 	// Guarded by frontend.mu.
 	holdsInput bool   // bytes that were read may hold a message that was not handled yet
@@ -94,7 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{frontend: f, conn: conn, raw: raw}
+	c := &clientConn{frontend: f, conn: conn, raw: raw, message: messageBuffer{memory: f.service.memory}}
 	socket := &deadlineReader{conn: conn, hasUnread: c.hasUnread, setTimeout: c.setReadTimeout}
 	c.reader = bufio.NewReaderSize(&inputReader{client: c, socket: socket}, requestBufferBytes)
 	return c, nil
@@ -103,7 +106,6 @@
 // serve reads and handles the client's messages until the connection ends.
 func (c *clientConn) serve() {
 	defer c.cleanUp()
-	var frame []byte
 	c.setReadTimeout(firstMessageTimeout)
 	for first := true; ; first = false {
 		if err := c.waitReadable(); err != nil {
@@ -124,10 +126,7 @@
 		if !first {
 			c.setReadTimeout(frameTimeout)
 		}
-		var err error
-		if frame, err = c.readFrame(frame); err == nil && !c.handleMessage(frame) {
-			err = errMalformedFrame
-		}
+		err := c.readMessage()
 		switch {
 		case err == nil:
 			c.setReadTimeout(c.idleTimeout)
@@ -153,14 +152,39 @@
 	return c.frontend.registry.BeginMessage(time.Now(), c.id)
 }
 
+// readMessage reads a message and handles it. A request for which there is no memory is rejected.
+func (c *clientConn) readMessage() error {
+	registry := c.frontend.registry // what its decoding methods read does not change
+	frame, err := c.message.read(c.reader)
+	handled := false
+	switch {
+	case err == nil:
+		handled = c.handleMessage(registry.Decode(frame))
+	case errors.Is(err, errNoMemory):
+		handled = c.handleMessage(registry.DecodeHeader(frame))
+	default:
+		return err
+	}
+	if !handled {
+		return errMalformedFrame
+	}
+	return nil
+}
+
 // handleMessage handles a message. It returns false if the connection can't be read any further.
-func (c *clientConn) handleMessage(frame []byte) bool {
-	service := c.frontend.service
-	message := c.frontend.registry.Decode(frame)
+func (c *clientConn) handleMessage(message thriftserver.Message) bool {
+	service, registry := c.frontend.service, c.frontend.registry
+	handle, reason := registry.HandleMessage, reasonNotServing
+	if message.IsDispatch() {
+		var reserved bool
+		if message.Memory, reserved = c.message.reserveRequest(); !reserved {
+			handle, reason = registry.RejectRequest, reasonNoMemory
+		}
+	}
 	c.frontend.mu.Lock()
 	// Measured under the lock: a stall while this goroutine waited for the lock counts as well.
 	c.readDelay = max(c.readDelay, service.stalls.maxWait(c.emptyAt, c.sinceLastInput))
-	verdict := c.frontend.registry.HandleMessage(time.Now().Add(-c.readDelay), c.id, message)
+	verdict := handle(time.Now().Add(-c.readDelay), c.id, message)
 	c.holdsInput = c.reader.Buffered() > 0
 	c.messages++
 	if mutantEnabled(mutantNoOrderingKey) {
@@ -175,10 +199,15 @@
 		}
 	}
 	c.frontend.mu.Unlock()
+	if verdict.Accepted != nil {
+		c.message.handOver()
+	} else {
+		message.Memory.Release()
+	}
 	if rejected {
 		c.frontend.respondError(verdict.Accepted.ID, thrift.ShedException, 0, reasonNotServing)
 	}
-	c.recordRejected(verdict, string(reasonNotServing))
+	c.recordRejected(verdict, string(reason))
 	if verdict.Reply != nil {
 		c.send(verdict.Reply, 1)
 	}
@@ -252,6 +281,7 @@
 	}
 	open := c.frontend.forget(c.id)
 	c.frontend.mu.Unlock()
+	c.message.reset()
 	c.conn.Close()
 	for _, request := range open {
 		c.frontend.service.abandonRequest(request, goneDisconnected)
--- a/internal/platform/clientread.go
+++ b/internal/platform/clientread.go
@@ -1,55 +1,18 @@
 package platform
 
 import (
-	"encoding/binary"
 	"errors"
 	"io"
 	"syscall"
 	"time"
 
 	"cresspass/internal/oserr"
-	"cresspass/internal/protocol/thrift"
 	"cresspass/internal/tcpinfo"
 )
 
-const (
-	// readChunkBytes is the step by which a message's buffer grows. Memory is allocated for bytes that
-	// arrive, not for the length that a client claims.
-	readChunkBytes = 8 << 10
-	// peekRetryInterval is the pause before a socket is checked again: after a peek with a transient error,
-	// and while unhandled input may cancel a request.
-	peekRetryInterval = time.Millisecond
-)
-
-// errMalformedFrame is the error for bytes that are not a valid message.
-var errMalformedFrame = errors.New("platform: malformed frame")
-
-// readFrame reads a message and returns it without its length. It reuses the buffer frame, unless that is
-// much larger than the message.
-func (c *clientConn) readFrame(frame []byte) ([]byte, error) {
-	var head [thrift.FrameHeaderBytes]byte
-	if _, err := io.ReadFull(c.reader, head[:]); err != nil {
-		return frame, err
-	}
-	length := binary.BigEndian.Uint32(head[:])
-	if length == 0 || length > maxFrameBytes {
-		return frame, errMalformedFrame
-	}
-	if cap(frame) > 2*readChunkBytes && length <= readChunkBytes {
-		frame = nil
-	}
-	frame = frame[:0]
-	for left := int(length); left > 0; {
-		chunk := min(left, readChunkBytes)
-		start := len(frame)
-		frame = append(frame, make([]byte, chunk)...)
-		if _, err := io.ReadFull(c.reader, frame[start:]); err != nil {
-			return frame, err
-		}
-		left -= chunk
-	}
-	return frame, nil
-}
+// peekRetryInterval is the pause before a socket is checked again: after a peek with a transient error, and
+// while unhandled input may cancel a request.
+const peekRetryInterval = time.Millisecond
 
 // waitReadable waits until there is input, without reading it. Bytes that were read from the socket before
 // the registry knows of a message would be lost if the connection were closed as unused.
--- a/internal/platform/eviction_test.go
+++ b/internal/platform/eviction_test.go
@@ -54,8 +54,7 @@
 	if err := client.waitReadable(); err != nil || !client.beginMessage() {
 		t.Fatal("no message arrived", err)
 	}
-	frame, err := client.readFrame(nil)
-	if err != nil || !client.handleMessage(frame) || client.reader.Buffered() == 0 {
+	if err := client.readMessage(); err != nil || client.reader.Buffered() == 0 {
 		t.Fatal("the second message was not read with the first", err)
 	}
 	h.frontend.retireUnused()
--- a/internal/platform/fakenode_test.go
+++ b/internal/platform/fakenode_test.go
@@ -23,7 +23,9 @@
 	headers http.Header // of the last POST
 	// handler answers a call. If it is nil or returns false, the call gets the default answer.
 	handler func(w http.ResponseWriter, r *http.Request, call, ticket string) bool
-	pages   int
+	// bodyHandler receives the ticket and the body of each POST. It may be nil.
+	bodyHandler func(ticket string, body []byte)
+	pages       int
 
 	known map[string]bool // tickets of received queries
 }
@@ -40,7 +42,7 @@
 
 // ServeHTTP implements http.Handler.
 func (n *fakeNode) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body) // an incomplete call counts as well
+	body, _ := io.ReadAll(r.Body) // an incomplete call counts as well
 	parts := strings.Split(strings.Trim(r.URL.Path, "/"), "/")
 	call, ticket, page := r.Method, r.Header.Get("X-Ticket"), 0
 	if len(parts) > 1 {
@@ -54,6 +56,9 @@
 	n.calls = append(n.calls, call+" "+ticket)
 	if r.Method == "POST" {
 		n.headers, n.known[ticket] = r.Header, true
+		if n.bodyHandler != nil {
+			n.bodyHandler(ticket, body)
+		}
 	}
 	answer, pages, known := n.handler, n.pages, n.known[ticket]
 	n.mu.Unlock()
@@ -83,6 +88,13 @@
 	n.handler = f
 }
 
+// setBodyHandler sets a function that receives the ticket and the body of each POST.
+func (n *fakeNode) setBodyHandler(f func(ticket string, body []byte)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.bodyHandler = f
+}
+
 // forget makes a query unknown, as if it had never been received.
 func (n *fakeNode) forget(ticket string) {
 	n.mu.Lock()
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -121,6 +121,18 @@
 	return f.registry.Lookup(id)
 }
 
+// retainRequest returns the open request with an id, or nil if there is none. The memory of the request stays
+// reserved until the caller releases it, even if the request ends before.
+func (f *frontend) retainRequest(id cresspass.QueryID) *thriftserver.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	request := f.registry.Lookup(id)
+	if request != nil {
+		request.Memory.Retain()
+	}
+	return request
+}
+
 // clientWaiting reports whether a request's client still waits for it, and when that was checked. Input that
 // is unread, or was read and not handled yet, may hold a cancel: after a stall of the process the attempt can
 // be due before the cancel is read. So clientWaiting waits until the client's reader has handled such input,
--- a/internal/platform/nodeconn.go
+++ b/internal/platform/nodeconn.go
@@ -17,6 +17,11 @@
 // responseBufferBytes is the size of a connection's read buffer. The head of a response must fit.
 const responseBufferBytes = 4 << 10
 
+// maxCopiedBody is the length of the longest body that is copied into a connection's write buffer, so that the
+// request is written at once. The buffers of all connections together would otherwise hold many long
+// statements.
+const maxCopiedBody = 2 << 10
+
 // startCheckTTL is how long the checks before a query is sent stay valid. The process may stall between the
 // checks and the write.
 const startCheckTTL = 2 * time.Millisecond
@@ -117,7 +122,11 @@
 	if !c.idleSince.IsZero() && !c.usable() || !c.setTimeout(timeout) {
 		return nil, errNotWritten
 	}
-	c.writeBuffer = nodehttp.AppendRequest(c.writeBuffer[:0], method, path, c.addr, body, headers...)
+	c.writeBuffer = nodehttp.AppendHead(c.writeBuffer[:0], method, path, c.addr, body, headers...)
+	if len(body) <= maxCopiedBody {
+		c.writeBuffer = append(c.writeBuffer, body...)
+		body = nil
+	}
 	if !c.writeBy.IsZero() && time.Now().After(c.writeBy) {
 		return nil, errChecksExpired
 	}
@@ -128,6 +137,11 @@
 		}
 		return nil, err
 	}
+	if len(body) > 0 {
+		if _, err := c.conn.Write(body); err != nil {
+			return nil, err
+		}
+	}
 	response, err := nodehttp.ReadResponse(c.reader)
 	c.awaitingResponse = err != nil
 	c.idleSince = time.Now()
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -1,6 +1,11 @@
 package platform
 
-import "time"
+import (
+	"errors"
+	"time"
+
+	"cresspass/internal/frontend/thriftserver"
+)
 
 const (
 	// maxOverflowConns is how many connections beyond the capacity are read at the same time. They use
@@ -38,10 +43,9 @@
 func (c *clientConn) rejectMessages() {
 	deadline := time.Now().Add(overflowTimeout)
 	c.conn.SetReadDeadline(deadline)
-	var frame []byte
+	defer c.message.reset()
 	for handled := 0; handled < minOverflowMessages || time.Now().Before(deadline); handled++ {
-		var err error
-		if frame, err = c.readFrame(frame); err != nil || !c.rejectMessage(frame) {
+		if !c.rejectMessage() {
 			break
 		}
 		if c.reader.Buffered() == 0 && !c.hasUnread() {
@@ -53,9 +57,18 @@
 	c.discardInput()
 }
 
-// rejectMessage answers a message. It returns false if the connection can't be read any further.
-func (c *clientConn) rejectMessage(frame []byte) bool {
-	message := c.frontend.registry.Decode(frame)
+// rejectMessage reads a message and answers it. It returns false if the connection can't be read any further.
+func (c *clientConn) rejectMessage() bool {
+	frame, err := c.message.read(c.reader)
+	var message thriftserver.Message
+	switch {
+	case err == nil:
+		message = c.frontend.registry.Decode(frame)
+	case errors.Is(err, errNoMemory):
+		message = c.frontend.registry.DecodeHeader(frame)
+	default:
+		return false
+	}
 	c.frontend.mu.Lock()
 	result := c.frontend.registry.RejectMessage(message)
 	c.frontend.mu.Unlock()
@@ -64,6 +77,6 @@
 		return !result.EndOfInput
 	}
 	c.conn.SetWriteDeadline(time.Now().Add(overflowTimeout))
-	_, err := c.conn.Write(result.Reply)
+	_, err = c.conn.Write(result.Reply)
 	return err == nil && !result.EndOfInput
 }
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -22,10 +22,8 @@
 )
 
 const (
-	softMemoryFraction = 0.55 // of the memory limit; the garbage collector works harder above it
-	defaultSockets     = 1024 // descriptors, if the configuration sets no limit
-	eventLogSize       = 1024 // events kept in memory
-	bytesPerMB         = 1 << 20
+	defaultSockets = 1024 // descriptors, if the configuration sets no limit
+	eventLogSize   = 1024 // events kept in memory
 )
 
 // service is a running dispatcher on the platform: it connects the parts of the package and carries out the
@@ -44,6 +42,7 @@
 	watcher      *watcher
 	guard        *requestGuard
 	stalls       *stallMonitor
+	memory       *memoryBudget
 
 	mu       sync.Mutex // guards the fields below
 	attempts map[attemptKey]*attempt
@@ -106,6 +105,7 @@
 		clock: dispatch.NewMonotonicClock(), reportFields: cfg.Module.LoadReportFields,
 		attempts: map[attemptKey]*attempt{}, outcomes: map[cresspass.Outcome]uint64{}}
 	s.stalls = newStallMonitor(s.clock)
+	s.memory = newMemoryBudget(cfg.Limits.MemoryMB)
 	s.events = eventlog.New(eventLogSize, log)
 	s.guard = newRequestGuard(&cfg.Module, invariant.NewCounter(log), s.events)
 	core, err := dispatch.NewCore(cfg.Module, s.clock())
@@ -170,7 +170,10 @@
 
 // startAttempt starts an attempt in its own goroutine.
 func (s *service) startAttempt(output *dispatch.Output) {
-	request, addr := s.frontend.request(output.Query), s.watcher.engineAddr(output.Engine)
+	request, addr := s.frontend.retainRequest(output.Query), s.watcher.engineAddr(output.Engine)
+	if request != nil && addr == "" {
+		request.Memory.Release()
+	}
 	if request == nil || addr == "" { // the client or the compute node has gone
 		outcome := cresspass.OutcomeNotStarted
 		if request != nil {
@@ -208,6 +211,7 @@
 	defer s.mu.Unlock()
 	s.outcomes[outcome]++
 	delete(s.attempts, attemptKey{a.request.ID, a.number})
+	a.request.Memory.Release()
 }
 
 // openAttempts returns how many attempts have not ended.
--- a/internal/platform/stats.go
+++ b/internal/platform/stats.go
@@ -24,6 +24,7 @@
 			"reused", counters.reused, "queued", counters.queued, "longest_wait", counters.longestWait,
 			"broken_calls", s.brokenCalls.Load(), "malformed_responses", s.malformedResponses.Load(),
 			"suspected_duplicates", counters.suspected),
+		s.memory.stats(),
 		"longest_step", s.loop.TakeLongestStep(),
 		"violations", invariant.FormatCounts(s.guard.counter.Violations()),
 		"withheld", invariant.FormatCounts(s.guard.counter.Withheld()),
--- a/internal/platform/stats_test.go
+++ b/internal/platform/stats_test.go
@@ -62,11 +62,12 @@
 	h.logStats()
 	line := out.line(t, "statistics")
 	want := map[string][]string{
-		"": {"clients", "discovery_calls", "goroutines", "heap_bytes", "level", "longest_step", "msg",
-			"nodes", "outcomes", "queries", "time", "violations", "withheld"},
+		"": {"clients", "discovery_calls", "goroutines", "heap_bytes", "level", "longest_step",
+			"memory", "msg", "nodes", "outcomes", "queries", "time", "violations", "withheld"},
 		"clients": {"closed", "connections", "evicted", "malformed_messages"},
 		"nodes": {"broken_calls", "connections", "dials", "longest_wait", "malformed_responses", "queued",
 			"reused", "suspected_duplicates", "waiting"},
+		"memory":   {"long_messages", "short_messages"},
 		"outcomes": {"ok"},
 		"queries": {"attempts", "client_gone", "failed", "not_started", "open", "overdue", "received",
 			"rejected", "retries", "running", "served", "stopped", "timers"},
--- a/internal/protocol/nodehttp/request.go
+++ b/internal/protocol/nodehttp/request.go
@@ -8,6 +8,11 @@
 // AppendRequest appends an HTTP/1.1 request to b. The headers are alternating names and values; a header with
 // an empty value is left out. Content-Length is added if body is not nil or the method is POST or PUT.
 func AppendRequest(b []byte, method, path, host string, body []byte, headers ...string) []byte {
+	return append(AppendHead(b, method, path, host, body, headers...), body...)
+}
+
+// AppendHead is AppendRequest without the body itself.
+func AppendHead(b []byte, method, path, host string, body []byte, headers ...string) []byte {
 	b = append(b, method...)
 	b = append(b, ' ')
 	b = append(b, path...)
@@ -22,8 +27,7 @@
 		b = append(b, "\r\nContent-Length: "...)
 		b = strconv.AppendInt(b, int64(len(body)), 10)
 	}
-	b = append(b, "\r\n\r\n"...)
-	return append(b, body...)
+	return append(b, "\r\n\r\n"...)
 }
 
 // appendHeader ends the previous line and appends a header without a line end of its own.
--- a/internal/protocol/thrift/request.go
+++ b/internal/protocol/thrift/request.go
@@ -39,6 +39,12 @@
 	return req, nil
 }
 
+// ParseHeader decodes the header of a message from the beginning of its frame.
+func ParseHeader(frame []byte) (Header, error) {
+	d := decoder{data: frame}
+	return d.header()
+}
+
 // decodeField reads an argument of a MethodDispatch or MethodCancelRequest message, and skips an argument of
 // any other method.
 func (r *Request) decodeField(d *decoder, fieldType byte, id uint16) error {
