Flight SQL: what is wrong with an engine's answer does not mean that nothing ran

After one spoilt value a client is told FAULTY and ran=false, fetches its single-use ticket again, and an unsafe load runs twice.

Cause: batchReader.addRow reported errors of the answer by invalidCall, which stands for a call of which nothing ran; FetchLedger.EndFetch gave the ticket back. setTrailers and recoverCall said ran=false of errors of unknown origin.

Change: such errors are FAILED with ran=unknown, and the ticket stays used. A row of parameters that can't be bound after others have run is reported as a partial update (by reading, without a test).

--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -26,8 +26,8 @@
 	return b.used
 }
 
-// Account is one kind of use of a budget. An account with a lower ceiling leaves the rest of the budget to the
-// others: a reservation succeeds only as long as all accounts together hold no more than its ceiling.
+// Account is one kind of use of a budget. An account with a lower ceiling leaves the rest of the budget to
+// the others: a reservation succeeds only if all accounts together then hold no more than its ceiling.
 type Account struct {
 	budget  *Budget
 	ceiling int64
@@ -35,8 +35,7 @@
 	refused uint64
 }
 
-// Account returns a new account whose reservations succeed up to a share of the capacity, above 0 and at most
-// 1.
+// Account returns a new account whose ceiling is a share of the capacity, above 0 and at most 1.
 func (b *Budget) Account(share float64) *Account {
 	return &Account{budget: b, ceiling: int64(share * float64(b.capacity))}
 }
--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -22,8 +22,7 @@
 	}
 	high.Release(50)
 	if used, refused := low.Stats(); used != 0 || refused != 2 || budget.Used() != 0 {
-		t.Errorf("%d bytes in use in the account, %d in all, %d refused; want 0, 0 and 2", used, budget.Used(),
-			refused)
+		t.Errorf("%d bytes used, %d in all, %d refused; want 0, 0, 2", used, budget.Used(), refused)
 	}
 }
 
--- a/internal/frontend/flightsql/batches.go
+++ b/internal/frontend/flightsql/batches.go
@@ -66,33 +66,54 @@
 	return r.schema.Arrow, r.chunks, nil
 }
 
-// handleMessages reads the schema and the rows from an engine's messages.
+// handleMessages reads the schema and the rows from an engine's messages. Its errors report that the
+// statement may have run: an engine that answers has begun to run it.
 func (r *batchReader) handleMessages(b []byte) error {
-	return forEachMessage(b, func(kind byte, body []byte) (err error) {
+	return forEachMessage(b, func(kind byte, body []byte) error {
 		switch kind {
 		case 'T': // RowDescription
-			if r.schema, err = arrowbatch.NewSchema(body, false); err == nil {
-				r.builder = arrowbatch.NewBuilder(r.schema, r.server.mem)
-			}
+			return r.describeRows(body)
 		case 'n': // NoData
-			r.schema = &arrowbatch.Schema{Arrow: arrow.NewSchema(nil, nil)}
+			return r.setSchema(&arrowbatch.Schema{Arrow: arrow.NewSchema(nil, nil)})
 		case 'D': // DataRow
 			return r.addRow(body)
 		case 'H', 'G', 'W': // CopyOutResponse, CopyInResponse, CopyBothResponse
-			return errCopyNotSupported()
+			return unknownOutcome(codes.Unimplemented, copyNotSupported)
 		case 'E': // ErrorResponse
 			return engineError(body)
 		}
-		return err
+		return nil
 	})
 }
 
+// describeRows reads the schema from the body of a RowDescription.
+func (r *batchReader) describeRows(body []byte) error {
+	schema, err := arrowbatch.NewSchema(body, false)
+	if err != nil {
+		return unknownOutcome(codes.Unknown, "%v", err)
+	}
+	if err := r.setSchema(schema); err != nil {
+		return err
+	}
+	r.builder = arrowbatch.NewBuilder(schema, r.server.mem)
+	return nil
+}
+
+// setSchema sets the schema of the response, which has only one.
+func (r *batchReader) setSchema(schema *arrowbatch.Schema) error {
+	if r.schema != nil {
+		return unknownOutcome(codes.Unknown, "a second description of the rows came")
+	}
+	r.schema = schema
+	return nil
+}
+
 func (r *batchReader) addRow(body []byte) error {
 	if r.builder == nil {
-		return invalidCall(codes.Unknown, "a row came before its description")
+		return unknownOutcome(codes.Unknown, "a row came before its description")
 	}
 	if err := r.builder.AppendRow(body); err != nil {
-		return invalidCall(codes.OutOfRange, "%v", err)
+		return unknownOutcome(codes.OutOfRange, "%v", err)
 	}
 	if r.builder.Bytes() >= batchBytes || r.builder.Rows() >= batchRows {
 		r.batches = append(r.batches, r.builder.Batch())
--- a/internal/frontend/flightsql/errors.go
+++ b/internal/frontend/flightsql/errors.go
@@ -27,11 +27,17 @@
 	return &callError{grpcstatus.InvalidCall(code, fmt.Sprintf(format, args...))}
 }
 
+// unknownOutcome returns the error of a call whose statement may have run, such as one whose engine has sent
+// an answer that cannot be passed on.
+func unknownOutcome(code codes.Code, format string, args ...any) error {
+	return &callError{grpcstatus.UnknownOutcome(code, fmt.Sprintf(format, args...))}
+}
+
 // engineError converts the body of an ErrorResponse into the call's error.
 func engineError(body []byte) error {
 	f, err := pgwire.ParseFields(body)
 	if err != nil {
-		return err
+		return unknownOutcome(codes.Unknown, "%v", err)
 	}
 	return &callError{grpcstatus.FromEngineError(&f)}
 }
@@ -43,6 +49,6 @@
 	return !errors.As(err, &e) || e.MayHaveRun
 }
 
-func errCopyNotSupported() error {
-	return invalidCall(codes.Unimplemented, "COPY is not served over Flight SQL")
-}
+const copyNotSupported = "COPY is not served over Flight SQL"
+
+func errCopyNotSupported() error { return invalidCall(codes.Unimplemented, copyNotSupported) }
--- a/internal/frontend/flightsql/grpcstatus/status.go
+++ b/internal/frontend/flightsql/grpcstatus/status.go
@@ -130,6 +130,12 @@
 		errorInfo(ReasonInvalid, map[string]string{metadataRan: ranNo}))
 }
 
+// UnknownOutcome returns the status of a call whose statement may have run, and whose result is not known.
+func UnknownOutcome(code codes.Code, message string) *Status {
+	return newStatus(code, message, noRetryPushback, true,
+		errorInfo(ReasonFailed, map[string]string{metadataRan: ranUnknown}))
+}
+
 func metadata(code, ran string) map[string]string {
 	return map[string]string{metadataSQLState: code, metadataRan: ran}
 }
--- a/internal/frontend/flightsql/interceptor.go
+++ b/internal/frontend/flightsql/interceptor.go
@@ -11,8 +11,6 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
-
-	"cresspass/internal/frontend/flightsql/grpcstatus"
 )
 
 // flightMethods is the prefix of the methods that have a session, except Handshake, which opens one.
@@ -78,7 +76,7 @@
 	if r := recover(); r != nil {
 		s.log.Error("call panicked", "method", method, "reason", fmt.Sprint(r),
 			"stack", string(debug.Stack()))
-		*err = invalidCall(codes.InvalidArgument, "the call is not understood")
+		*err = unknownOutcome(codes.InvalidArgument, "the call is not understood")
 	}
 }
 
@@ -91,7 +89,7 @@
 		}
 		err = e
 	} else if _, ok := status.FromError(err); !ok && err != nil {
-		err = &callError{grpcstatus.InvalidCall(codes.Unknown, err.Error())}
+		err = unknownOutcome(codes.Unknown, "%v", err) // of unknown origin: the statement may have run
 	}
 	if sess != nil {
 		if notice := sess.pendingNotices(); notice != "" {
--- a/internal/frontend/flightsql/prepared.go
+++ b/internal/frontend/flightsql/prepared.go
@@ -179,7 +179,7 @@
 		for i := range int(batch.NumRows()) {
 			bindBody, err := p.bindRow(batch, i)
 			if err != nil {
-				return total, err
+				return total, partialUpdateError(err, runs)
 			}
 			n, err := s.executeUpdate(ctx, p.scope, p.statement(parsed, bindBody))
 			if err != nil {
--- a/internal/frontend/flightsql/query.go
+++ b/internal/frontend/flightsql/query.go
@@ -52,7 +52,11 @@
 			return nil, err
 		}
 	}
-	return parseDescription(b)
+	d, err := parseDescription(b)
+	if err != nil {
+		return nil, invalidCall(codes.Unknown, "description of the statement: %v", err) // it was not run
+	}
+	return d, nil
 }
 
 // cachedDescription returns the messages that describe a statement, from the cache; nil: they are not cached.
--- a/internal/frontend/thriftserver/registry_test.go
+++ b/internal/frontend/thriftserver/registry_test.go
@@ -281,8 +281,8 @@
 	})
 }
 
-// TestHeaderOnlyMessages guards against a request that is accepted without its fields: where only the beginning
-// of a frame was kept, a dispatch call is rejected, and any other call ends the input.
+// TestHeaderOnlyMessages guards against a request that is accepted without its fields: where only the
+// beginning of a frame was kept, a dispatch call is rejected, and any other call ends the input.
 func TestHeaderOnlyMessages(t *testing.T) {
 	const beginning = 40 // bytes, which hold the header
 	r := New(&cfg)
@@ -303,7 +303,8 @@
 			}
 		}
 	}
-	if result := r.RejectRequest(startOfTest, 1, r.Decode(frame)); !result.Rejected || result.Ticket != ticket(1) {
+	result := r.RejectRequest(startOfTest, 1, r.Decode(frame))
+	if !result.Rejected || result.Ticket != ticket(1) {
 		t.Errorf("a whole request without memory: %+v, want a rejection", result)
 	}
 	if n := r.OpenRequests(); n != 0 {
--- a/internal/layers/layers_test.go
+++ b/internal/layers/layers_test.go
@@ -23,7 +23,8 @@
 	{"backend/...", "affinity/...", "discovery/..."},
 	{"dispatch/...", "invariant", "eventlog", "overload/...", "wire", "recording"},
 	{"."}, // the decision module
-	{"protocol/...", "netlisten", "timingwheel", "bytebudget", "oserr", "tcpinfo", "daemon/signals", "daemon/lifecycle"},
+	{"protocol/...", "netlisten", "timingwheel", "bytebudget", "oserr", "tcpinfo", "daemon/signals",
+		"daemon/lifecycle"},
 	// These import nothing of this module.
 	{"elfcheck", "goldentest", "tcptest", "knownred", "layers", "experiments", "rehearsals"},
 }
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -425,7 +425,7 @@
 			t.Errorf("a statement of %d bytes: %s %q", length, got.kind, got.text)
 		}
 		if !bytes.Equal(received, statement) {
-			t.Errorf("a statement of %d bytes: the compute node received %d other bytes", length, len(received))
+			t.Errorf("statement of %d bytes: the compute node got %d other bytes", length, len(received))
 		}
 	}
 	eventually(t, "all memory is released", func() bool { return h.memory.used() == 0 })
--- a/internal/platform/memorylimit_test.go
+++ b/internal/platform/memorylimit_test.go
@@ -149,8 +149,8 @@
 	close(stop)
 	clients.Wait()
 	most := largest()
-	t.Logf("most memory %.1f MB of %d; usual client: %v, slowest answer after %v", most, memoryMB, usual.kinds,
-		usual.worst.Round(time.Millisecond))
+	t.Logf("most memory %.1f MB of %d; usual client: %v, slowest answer after %v", most, memoryMB,
+		usual.kinds, usual.worst.Round(time.Millisecond))
 	if most > float64(memoryMB) {
 		t.Errorf("the process held %.0f MB, its limit is %d MB", most, memoryMB)
 	}
@@ -173,9 +173,9 @@
 
 // longRequest returns a message with a long statement.
 func longRequest(seq int32, class, limit string) []byte {
-	body := []byte("select 1 from sales_3.t where id in (" + strings.Repeat("7,", longStatementBytes/2) + "7)")
+	body := "select 1 from sales_3.t where id in (" + strings.Repeat("7,", longStatementBytes/2) + "7)"
 	return thrift.Dispatch{Fields: requestFields(fmt.Sprintf("%016x", rand.Uint64()), class, limit),
-		Body: body}.Append(nil, seq)
+		Body: []byte(body)}.Append(nil, seq)
 }
 
 // forEachMemoryLimit runs a test with each of memoryLimits.
--- a/internal/platform/nodeconn.go
+++ b/internal/platform/nodeconn.go
@@ -17,9 +17,8 @@
 // responseBufferBytes is the size of a connection's read buffer. The head of a response must fit.
 const responseBufferBytes = 4 << 10
 
-// maxCopiedBody is the length of the longest body that is copied into a connection's write buffer, so that the
-// request is written at once. The buffers of all connections together would otherwise hold many long
-// statements.
+// maxCopiedBody is the length of the longest body that is copied into a connection's write buffer, so that
+// the request is written at once. Longer bodies would stay in the buffers of all connections.
 const maxCopiedBody = 2 << 10
 
 // startCheckTTL is how long the checks before a query is sent stay valid. The process may stall between the
