Flight SQL: a row that is rejected halfway is in no batch, and ends no process

One value that doesn't fit its column, or NaN in a numeric with precision, ends cresspass serve with a panic; all open queries of all clients get no answer.

Cause: Builder.AppendRow left the first columns of the rejected row in the builder; the batch of the rows before it then has columns of unequal length, on which Arrow panics, in the goroutine that delivers the rows.

Change: the rejected row's missing columns get nulls, and the next batch is cut before it.

--- a/internal/frontend/flightsql/arrowbatch/builder.go
+++ b/internal/frontend/flightsql/arrowbatch/builder.go
@@ -16,6 +16,7 @@
 	appenders []appender // one for each column
 	rows      int        // since the last batch
 	bytes     int        // of these rows, as the engine sent them
+	rejected  bool       // behind these rows, the columns hold a row that was rejected
 
 	// Sizes of the previous batch, by which memory for the next is reserved.
 
@@ -64,7 +65,13 @@
 		}
 		b.previousDataSizes = append(b.previousDataSizes, size)
 	}
-	return b.record.NewRecordBatch()
+	batch := b.record.NewRecordBatch()
+	if !b.rejected {
+		return batch
+	}
+	defer batch.Release()
+	b.rejected = false
+	return batch.NewSlice(0, int64(b.previousRows))
 }
 
 // reserve reserves as much memory as the previous batch took, instead of growing by doubling.
@@ -80,8 +87,8 @@
 	}
 }
 
-// AppendRow adds the row of a DataRow's body. A row that is rejected halfway leaves columns of unequal
-// length, so the builder cannot be used after an error.
+// AppendRow adds the row of a DataRow's body. After an error, which adds no row, Batch must be called before
+// the next row.
 func (b *Builder) AppendRow(row []byte) error {
 	if len(row) < 2 || int(binary.BigEndian.Uint16(row)) != len(b.appenders) {
 		return fmt.Errorf("row does not have the %d columns described", len(b.appenders))
@@ -89,9 +96,28 @@
 	if b.rows == 0 && b.previousRows > 0 {
 		b.reserve()
 	}
+	if err := b.appendValues(row[2:]); err != nil {
+		b.completeRejectedRow()
+		return err
+	}
 	b.rows++
 	b.bytes += len(row)
-	row = row[2:]
+	return nil
+}
+
+// completeRejectedRow gives all columns the same length after a row that was rejected halfway: Arrow can't
+// remove the values that were added, and panics on columns of unequal length.
+func (b *Builder) completeRejectedRow() {
+	b.rejected = true
+	for _, field := range b.record.Fields() {
+		if field.Len() == b.rows {
+			field.AppendNull()
+		}
+	}
+}
+
+// appendValues adds the values of a row to the columns.
+func (b *Builder) appendValues(row []byte) error {
 	for i, appendValue := range b.appenders {
 		v, rest, err := nextValue(row)
 		if err != nil {
--- a/internal/frontend/flightsql/spoilt_answer_test.go
+++ b/internal/frontend/flightsql/spoilt_answer_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/apache/arrow-go/v18/arrow/memory"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -107,3 +109,24 @@
 		t.Errorf("%v: told ran=%q, the ticket is used: %v; want unknown, true", err, told, ledger)
 	}
 }
+
+// TestRowsBeforeSpoiltRow guards against a panic that ended the process: of an answer whose last row is
+// spoilt behind its first column, the client receives the rows before and then the error.
+func TestRowsBeforeSpoiltRow(t *testing.T) {
+	const rows = 3
+	columns := []pgproto3.FieldDescription{{Name: []byte("t"), DataTypeOID: pgtype.TextOID, Format: 1},
+		{Name: []byte("n"), DataTypeOID: pgtype.Int4OID, Format: 1}}
+	answer, err := (&pgproto3.RowDescription{Fields: columns}).Encode(nil)
+	for range rows {
+		answer, _ = (&pgproto3.DataRow{Values: [][]byte{{'a'}, {0, 0, 0, 1}}}).Encode(answer)
+	}
+	answer, _ = (&pgproto3.DataRow{Values: [][]byte{{'a'}, {0, 1}}}).Encode(answer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := answeredCall(answer)
+	c.query.Response.Finish(0, nil, true)
+	if got, err := receiveAll(t, c); got != rows || err == nil {
+		t.Errorf("received %d rows and error %v, want %d rows and an error", got, err, rows)
+	}
+}
