A SET is split by its words, not by positions in its upper case

One SET of a setting whose name is longer in upper case ends cresspass serve with a panic; all open queries get no answer.

Cause: parseWordAssignment took positions from strings.ToUpper(assignment) and cut the text itself by them, in the goroutine that polls the sockets.

Evidence: TestParseAssignment ends with that panic on the code before (slice bounds out of range [:32] with length 27).

Change: the assignment is split into words of the text. sqlscan keeps the length of each word: "ſet" and "commıt" passed for SET and COMMIT by their upper case.

--- a/internal/backend/sessionparams/change.go
+++ b/internal/backend/sessionparams/change.go
@@ -73,12 +73,9 @@
 
 // trimScope returns an assignment without a leading SESSION or LOCAL.
 func trimScope(assignment string) string {
-	for _, word := range []string{"SESSION", "LOCAL"} {
-		n := len(word)
-		if len(assignment) > n && strings.EqualFold(assignment[:n], word) &&
-			strings.ContainsRune(" \t\r\n", rune(assignment[n])) {
-			return strings.TrimSpace(assignment[n:])
-		}
+	word, rest := cutWord(assignment)
+	if rest != "" && (sqlscan.IsKeyword(word, "SESSION") || sqlscan.IsKeyword(word, "LOCAL")) {
+		return rest
 	}
 	return assignment
 }
@@ -86,18 +83,28 @@
 // parseWordAssignment splits an assignment without an equals sign: TIME ZONE value, NAMES value or
 // name TO value.
 func parseWordAssignment(assignment string) (name, value string, ok bool) {
-	upper := strings.ToUpper(assignment)
-	words := strings.Fields(upper)
+	first, rest := cutWord(assignment)
+	second, value := cutWord(rest)
 	switch {
-	case len(words) > 2 && words[0] == "TIME" && words[1] == "ZONE":
-		at := strings.Index(upper, "ZONE") + len("ZONE")
-		return "timezone", assignment[at:], true
-	case len(words) > 1 && words[0] == "NAMES":
-		return "client_encoding", assignment[len("NAMES"):], true
-	case len(words) > 2 && words[1] == "TO":
-		at := len(words[0])
-		at += strings.Index(upper[at:], "TO") + len("TO")
-		return assignment[:len(words[0])], assignment[at:], true
+	case value != "" && sqlscan.IsKeyword(first, "TIME") && sqlscan.IsKeyword(second, "ZONE"):
+		return "timezone", value, true
+	case rest != "" && sqlscan.IsKeyword(first, "NAMES"):
+		return "client_encoding", rest, true
+	case value != "" && sqlscan.IsKeyword(second, "TO"):
+		return first, value, true
 	}
 	return "", "", false
 }
+
+// sqlSpace holds the characters between the words of a statement ("Lexical Structure").
+const sqlSpace = " \t\r\n\f\v"
+
+// cutWord returns the first word of a text, up to the next white space, and the text behind that white space.
+func cutWord(text string) (word, rest string) {
+	text = strings.TrimLeft(text, sqlSpace)
+	end := strings.IndexAny(text, sqlSpace)
+	if end < 0 {
+		return text, ""
+	}
+	return text[:end], strings.TrimLeft(text[end:], sqlSpace)
+}
--- a/internal/backend/sessionparams/tracker_test.go
+++ b/internal/backend/sessionparams/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -148,3 +149,51 @@
 		}
 	})
 }
+
+// TestParseAssignment guards against a panic that ended the process: the name and the value were cut out of a
+// SET by positions in its upper case, which can be longer than the text.
+func TestParseAssignment(t *testing.T) {
+	type assignment struct {
+		name, value string
+		ok          bool
+	}
+	for text, want := range map[string]assignment{
+		"set ɐɐɐɐɐɐɐɐɐɐ.x to 1":       {"ɐɐɐɐɐɐɐɐɐɐ.x", "1", true},
+		"set ɐ.x  TO\t'to to'":        {"ɐ.x", "'to to'", true},
+		"set x to ɐɐɐ":                {"x", "ɐɐɐ", true},
+		"set ŉ to ŉ":                  {"ŉ", "ŉ", true},
+		"set total to 1":              {"total", "1", true},
+		"set session time zone 'ɐ b'": {"timezone", "'ɐ b'", true},
+		"set local names 'ɐ'":         {"client_encoding", "'ɐ'", true},
+		"set ɐ = to":                  {"ɐ", "to", true},
+		"set ɐ to":                    {"", "", false},
+		"set ɐ":                       {"", "", false},
+		"set names":                   {"", "", false},
+		"set nameſ 'utf8'":            {"", "", false},
+		"set ɐ t\xff 1":               {"", "", false},
+	} {
+		st := sqlscan.Statements(text)[0]
+		name, value, ok := ParseAssignment(&st)
+		if got := (assignment{name, value, ok}); got != want {
+			t.Errorf("%s: %+v, want %+v", text, got, want)
+		}
+	}
+}
+
+// FuzzChangeOf checks that no SET ends the process, and that a value is a part of its statement's text.
+func FuzzChangeOf(f *testing.F) {
+	for _, text := range []string{"set ɐ to 1", "SET SESSION a=b", "set time zone x", "set names\x85 x"} {
+		f.Add(text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, st := range sqlscan.Statements(text) {
+			ChangeOf(&st)
+			if st.Words[0] != "SET" {
+				continue
+			}
+			if _, value, ok := ParseAssignment(&st); ok && !strings.Contains(st.Text, value) {
+				t.Errorf("%q: value %q", st.Text, value)
+			}
+		}
+	})
+}
--- a/internal/protocol/sqlscan/functions.go
+++ b/internal/protocol/sqlscan/functions.go
@@ -71,7 +71,7 @@
 // in the session. Only a statement's first such call is recorded. before is the word in front of the name:
 // after some words, a name with a list behind it is no call.
 func (st *Statement) recordCall(name, before string) {
-	if st.Function != "" || statelessNames[strings.ToUpper(name)] {
+	if st.Function != "" || statelessNames[upperWord(name)] {
 		return
 	}
 	switch st.Words[0] {
@@ -79,7 +79,7 @@
 	default:
 		return
 	}
-	switch strings.ToUpper(before) {
+	switch upperWord(before) {
 	case "INTO", "TABLE", "AS", "WITH", "RECURSIVE", "REFERENCES", "UPDATE", "WINDOW":
 		return
 	}
--- a/internal/protocol/sqlscan/group.go
+++ b/internal/protocol/sqlscan/group.go
@@ -30,7 +30,7 @@
 		case kind == tokenComment:
 			continue
 		case kind == tokenWord:
-			name, beforeName, last = text[from:to], last, strings.ToUpper(text[from:to])
+			name, beforeName, last = text[from:to], last, upperWord(text[from:to])
 		case text[from] == '"' && to-from > 2:
 			name, beforeName, last = text[from+1:to-1], last, ""
 		case text[from] == '.' && name != "":
--- a/internal/protocol/sqlscan/statement.go
+++ b/internal/protocol/sqlscan/statement.go
@@ -1,7 +1,5 @@
 package sqlscan
 
-import "strings"
-
 // Statement describes one statement of a text.
 type Statement struct {
 	Text  string    // without surrounding comments and without its semicolon
@@ -25,13 +23,13 @@
 // word counts, wherever it stands, and a single writing word makes the statement a writing one: WITH and
 // EXPLAIN may contain statements that write, and SELECT INTO creates a table.
 func (st *Statement) recordWord(word, before string) {
-	switch strings.ToUpper(word) {
+	switch upperWord(word) {
 	case "TEMP", "TEMPORARY":
-		st.Temp = st.Temp || strings.EqualFold(before, "INTO")
+		st.Temp = st.Temp || IsKeyword(before, "INTO")
 	case "INSERT", "DELETE", "MERGE", "INTO", "NEXTVAL", "SETVAL":
 		st.Writes = true
 	case "UPDATE": // SELECT FOR UPDATE only locks
-		st.Writes = st.Writes || !strings.EqualFold(before, "FOR") && !strings.EqualFold(before, "KEY")
+		st.Writes = st.Writes || !IsKeyword(before, "FOR") && !IsKeyword(before, "KEY")
 	case "PG_ADVISORY_LOCK", "PG_ADVISORY_LOCK_SHARED", "PG_TRY_ADVISORY_LOCK", "PG_TRY_ADVISORY_LOCK_SHARED",
 		"PG_ADVISORY_UNLOCK", "PG_ADVISORY_UNLOCK_SHARED", "PG_ADVISORY_UNLOCK_ALL", "SET_CONFIG":
 		st.Session = true
@@ -97,7 +95,7 @@
 func (sp *splitter) addWord(from, to int) {
 	word := sp.text[from:to]
 	if sp.wordCount < len(sp.statement.Words) {
-		sp.statement.Words[sp.wordCount] = strings.ToUpper(word)
+		sp.statement.Words[sp.wordCount] = upperWord(word)
 		sp.wordCount++
 	}
 	if sp.wordCount == 1 && sp.lastWord == "" {
