Node: answers that clients do not read share a budget in bytes

What callers saw: clients that do not read their answers make the process hold up to 4 MB for each connection, over any memory limit.

Change: the budget of answers. Without room the connection with the most pending output is closed first, and a result that finds none fails its attempt. Long messages, short messages and answers have a share each in place of ceilings on their sum: unread answers could leave no room for requests. flush writes chunks off the pending output, whose bytes are returned as they are written.

--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -5,45 +5,38 @@
 	"testing"
 )
 
-// TestCeilings checks that an account can't use the part of the budget above its ceiling, and that an account
-// with a higher ceiling can.
-func TestCeilings(t *testing.T) {
+// TestLimit checks that reservations succeed up to the limit, and that a refused one changes nothing.
+func TestLimit(t *testing.T) {
 	budget := New(100)
-	low, high := budget.Account(0.5), budget.Account(1)
-	if !low.TryReserve(50) || low.TryReserve(1) {
-		t.Error("an account with a ceiling of 50 bytes must get exactly 50")
+	if !budget.TryReserve(60) || budget.TryReserve(41) || !budget.TryReserve(40) || budget.TryReserve(1) {
+		t.Error("reservations of 60 and 40 bytes fit into 100, and no others beside them")
 	}
-	if !high.TryReserve(50) || high.TryReserve(1) {
-		t.Error("the other account must get the other 50 bytes, and no more")
+	if !budget.TryReserve(0) {
+		t.Error("a reservation of no bytes must succeed in a full budget")
 	}
-	low.Release(50)
-	if low.TryReserve(1) {
-		t.Error("with 50 bytes in use there is no room below a ceiling of 50")
-	}
-	high.Release(50)
-	if used, refused := low.Stats(); used != 0 || refused != 2 || budget.Used() != 0 {
-		t.Errorf("%d bytes used, %d in all, %d refused; want 0, 0, 2", used, budget.Used(), refused)
+	budget.Release(60)
+	if used, refused := budget.Stats(); used != 40 || refused != 2 {
+		t.Errorf("%d bytes used, %d reservations refused; want 40 and 2", used, refused)
 	}
 }
 
 // TestReservationHolders checks that a reservation is returned once, by its last holder.
 func TestReservationHolders(t *testing.T) {
 	budget := New(10)
-	account := budget.Account(1)
-	account.TryReserve(10)
-	reservation := account.Reservation(10)
+	budget.TryReserve(10)
+	reservation := budget.Reservation(10)
 	var holders sync.WaitGroup
 	for range 20 {
 		reservation.Retain()
 		holders.Go(reservation.Release)
 	}
 	holders.Wait()
-	if budget.Used() != 10 {
-		t.Fatalf("%d bytes in use while there is a holder, want 10", budget.Used())
+	if used, _ := budget.Stats(); used != 10 {
+		t.Fatalf("%d bytes in use while there is a holder, want 10", used)
 	}
 	reservation.Release()
-	if budget.Used() != 0 {
-		t.Errorf("%d bytes in use without a holder", budget.Used())
+	if used, _ := budget.Stats(); used != 0 {
+		t.Errorf("%d bytes in use without a holder", used)
 	}
 	var none *Reservation
 	none.Retain()
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -40,8 +40,9 @@
 	cancel context.CancelFunc
 
 	// Used only by run's goroutine.
-	suspected duplicateresponse.Fingerprint // of the last response, if it may be a duplicate; else 0
-	checkedAt time.Time                     // when mayStart last checked
+	suspected   duplicateresponse.Fingerprint // of the last response, if it may be a duplicate; else 0
+	checkedAt   time.Time                     // when mayStart last checked
+	resultBytes int64                         // reserved for the pages of the result
 
 	mu          sync.Mutex // guards the fields below
 	conn        *nodeConn  // the connection that stop interrupts
@@ -136,6 +137,7 @@
 		event, conn = a.execute(step, conn)
 		if event.Response != nil {
 			a.readLoadReport(event.Response, &done)
+			a.reserveResult(event.Response)
 			if event.Response.Close {
 				a.release(conn, false)
 				conn = nil
@@ -162,11 +164,23 @@
 	if step.Outcome == cresspass.OutcomeOK {
 		done.QueryFinished = a.service.frontend.respondResult(a.request.ID, step.Pages)
 	}
+	a.service.memory.answers.Release(a.resultBytes)
 	a.cancel()
 	a.service.attemptEnded(a, done.Outcome)
 	a.service.loop.Post(done)
 }
 
+// reserveResult reserves memory for a part of the result. If there is none, the attempt fails.
+func (a *attempt) reserveResult(response *nodehttp.Response) {
+	bytes := int64(len(response.Body))
+	if !a.service.memory.answers.TryReserve(bytes) {
+		a.service.events.Add(a.event(eventlog.AttemptStopped, "no memory for the result"))
+		a.stop(cresspass.OutcomeFailed)
+		return
+	}
+	a.resultBytes += bytes
+}
+
 // readLoadReport copies the load report of a response, if it has a valid one, to the event done.
 func (a *attempt) readLoadReport(response *nodehttp.Response, done *cresspass.Event) {
 	header := response.Header[nodehttp.HeaderLoadReport]
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -428,5 +428,5 @@
 			t.Errorf("statement of %d bytes: the compute node got %d other bytes", length, len(received))
 		}
 	}
-	eventually(t, "all memory is released", func() bool { return h.memory.used() == 0 })
+	eventually(t, "all memory is released", func() bool { return h.heldBytes() == 0 })
 }
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -85,10 +85,11 @@
 	messages   uint64 // number of messages handled
 
 	mu              sync.Mutex // guards the fields below, and the read deadline against closing
-	pending         []byte     // output that is not being written yet
+	pending         []byte     // output that is not being written yet; its bytes are reserved
 	pendingMessages int        // messages in pending or being written
 	flushing        bool       // flush is running
 	closing         bool       // half-close once the output is written; discard input
+	dropped         bool       // the output was dropped: the client does not read
 }
 
 // newClientConn returns a connection that is not registered yet. It fails only if the socket is closed.
--- a/internal/platform/clientconn_test.go
+++ b/internal/platform/clientconn_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"io"
+	"maps"
 	"net"
+	"runtime"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -286,3 +290,62 @@
 		})
 	}
 }
+
+// TestUnreadOutputIsLimitedInAll guards against output of several MB for each client that does not read: the
+// output of all clients together is limited, and that of the clients with the most is dropped first.
+func TestUnreadOutputIsLimitedInAll(t *testing.T) {
+	const clients, chunkBytes = 16, 256 << 10
+	const chunks = maxPendingBytes/chunkBytes - 1 // for a client; 60 MB in all
+	const maxHeapBytes = 40 << 20                 // below the memory limit of 64 MB
+	h := newHarness(t, 256)
+	for range clients {
+		h.dialSmallBuffers()
+	}
+	h.frontend.mu.Lock()
+	conns := slices.Collect(maps.Values(h.frontend.conns))
+	h.frontend.mu.Unlock()
+	reading := h.dialSmallBuffers()
+	chunk := make([]byte, chunkBytes)
+	for range chunks {
+		for _, client := range conns {
+			client.send(chunk, 0)
+		}
+	}
+	runtime.GC()
+	if held := heapBytes(); held > maxHeapBytes {
+		t.Errorf("the heap has %d MB, want at most %d", held>>20, maxHeapBytes>>20)
+	}
+	reading.mustServe(1, 1)
+	h.frontend.mu.Lock()
+	dropped := h.frontend.closedByReason[closedNotReading]
+	h.frontend.mu.Unlock()
+	if dropped == 0 || dropped > clients {
+		t.Errorf("%d connections of clients that do not read were closed, want 1 to %d", dropped, clients)
+	}
+	h.frontend.closeAll()
+	eventually(t, "all memory is released", func() bool { return h.heldBytes() == 0 })
+}
+
+// TestOutputOfSlowReaderIsWhole checks that a client which reads slowly gets all of its output unchanged,
+// while more is added to what is pending.
+func TestOutputOfSlowReaderIsWhole(t *testing.T) {
+	const messages, messageBytes = 200, 20_000
+	h := newHarness(t, 256)
+	client := h.dialSmallBuffers()
+	h.frontend.mu.Lock()
+	conn := h.onlyConn()
+	h.frontend.mu.Unlock()
+	go func() {
+		for n := range messages {
+			conn.send(bytes.Repeat([]byte{byte(n)}, messageBytes), 0)
+		}
+	}()
+	b := make([]byte, messageBytes)
+	for n := range messages {
+		_, err := io.ReadFull(client.reader, b)
+		if want := bytes.Repeat([]byte{byte(n)}, messageBytes); err != nil || !bytes.Equal(b, want) {
+			t.Fatalf("message %d is not the one that was sent; error %v", n, err)
+		}
+	}
+	eventually(t, "all memory is released", func() bool { return h.heldBytes() == 0 })
+}
--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -14,22 +14,27 @@
 
 // send writes b, which holds the given number of messages, without waiting for the client. It writes what the
 // socket accepts at once: on busy cores the goroutine of flush would have to wait to be scheduled, and
-// answers would be late. If more than maxPendingBytes of output wait for the client, send closes the
-// connection.
+// answers would be late. The rest is pending. If more than maxPendingBytes are pending for the client, send
+// closes the connection; if there is no memory for more answers, it closes those with the most first.
 func (c *clientConn) send(b []byte, messages int) {
+	answers, reserved := c.frontend.service.memory.answers, int64(len(b))
+	if !c.frontend.reserveOutput(c, reserved) {
+		c.dropOutput()
+		return
+	}
 	c.mu.Lock()
-	c.pendingMessages += messages
-	if len(c.pending)+len(b) > maxPendingBytes {
-		c.closing = true
+	if c.dropped || len(c.pending)+len(b) > maxPendingBytes {
 		c.mu.Unlock()
-		c.recordNotReading()
-		c.conn.Close()
+		answers.Release(reserved)
+		c.dropOutput()
 		return
 	}
+	c.pendingMessages += messages
 	if !c.flushing && len(c.pending) == 0 {
 		b = c.writeNow(b)
 	}
 	c.pending = append(c.pending, b...)
+	answers.Release(reserved - int64(len(b)))
 	written := 0
 	switch {
 	case c.flushing:
@@ -43,6 +48,50 @@
 	c.recordWritten(written)
 }
 
+// reserveOutput reserves memory for output to a client. While there is none, it closes the connection for
+// which most output is pending. It returns false if that is the client's own connection, or there is none.
+func (f *frontend) reserveOutput(client *clientConn, bytes int64) bool {
+	for !f.service.memory.answers.TryReserve(bytes) {
+		largest := f.mostPending()
+		if largest == nil || largest == client {
+			return false
+		}
+		largest.dropOutput()
+	}
+	return true
+}
+
+// mostPending returns the connection for which most output is pending, or nil if none is.
+func (f *frontend) mostPending() (largest *clientConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	most := 0
+	for _, client := range f.conns {
+		if pending := client.pendingBytes(); pending > most {
+			largest, most = client, pending
+		}
+	}
+	return largest
+}
+
+// dropOutput drops the pending output of a client that does not read, and closes its connection.
+func (c *clientConn) dropOutput() {
+	c.recordNotReading()
+	c.mu.Lock()
+	dropped := len(c.pending)
+	c.pending, c.dropped, c.closing = nil, true, true
+	c.mu.Unlock()
+	c.frontend.service.memory.answers.Release(int64(dropped))
+	c.conn.Close()
+}
+
+// pendingBytes returns how much output is pending.
+func (c *clientConn) pendingBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.pending)
+}
+
 // writeNow writes what the socket accepts at once, and returns the rest. It ignores errors, because flush
 // will encounter them again.
 func (c *clientConn) writeNow(b []byte) []byte {
@@ -61,31 +110,35 @@
 func (c *clientConn) flush() {
 	for {
 		c.mu.Lock()
-		b := c.pending
-		c.pending = nil
-		if len(b) == 0 {
-			messages := c.pendingMessages
-			c.flushing, c.pendingMessages = false, 0
-			c.conn.SetWriteDeadline(time.Time{})
-			if c.closing {
-				c.halfClose()
-			}
-			c.mu.Unlock()
-			c.recordWritten(messages)
+		chunk := c.pending[:min(len(c.pending), writeChunkBytes)]
+		c.pending = c.pending[len(chunk):]
+		if len(chunk) == 0 {
+			c.endFlush()
 			return
 		}
 		c.mu.Unlock()
-		for err := error(nil); len(b) > 0 && err == nil; {
-			chunk := b[:min(len(b), writeChunkBytes)]
-			b = b[len(chunk):]
-			c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
-			if _, err = c.conn.Write(chunk); err != nil {
-				c.endAfterWriteError(err)
-			}
+		c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
+		_, err := c.conn.Write(chunk)
+		c.frontend.service.memory.answers.Release(int64(len(chunk)))
+		if err != nil {
+			c.endAfterWriteError(err)
 		}
 	}
 }
 
+// endFlush ends the writing of pending output, of which there is none left. The caller holds c.mu, which
+// endFlush releases.
+func (c *clientConn) endFlush() {
+	messages := c.pendingMessages
+	c.pending, c.flushing, c.pendingMessages = nil, false, 0
+	c.conn.SetWriteDeadline(time.Time{})
+	if c.closing {
+		c.halfClose()
+	}
+	c.mu.Unlock()
+	c.recordWritten(messages)
+}
+
 // endAfterWriteError closes the connection after a write error. A client that reads nothing within the write
 // timeout is recorded here as not reading; one that has disconnected is recorded by the reader.
 func (c *clientConn) endAfterWriteError(err error) {
--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"cresspass"
+	"cresspass/internal/bytebudget"
 	"cresspass/internal/dispatch"
 )
 
@@ -273,3 +274,13 @@
 	}
 	t.Fatal("timed out waiting for this: " + what)
 }
+
+// heldBytes returns how many bytes the dispatcher holds for clients.
+func (h *harness) heldBytes() (held int64) {
+	for _, budget := range []*bytebudget.Budget{h.memory.longMessages, h.memory.shortMessages,
+		h.memory.answers} {
+		used, _ := budget.Stats()
+		held += used
+	}
+	return held
+}
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -10,20 +10,18 @@
 const (
 	softMemoryFraction = 0.55    // of the memory limit; the garbage collector works harder above it
 	restBytes          = 8 << 20 // of a dispatcher without clients
-	minHeldBytes       = 2 << 20 // of the budget, with any memory limit
+	heldFraction       = 2.0 / 3 // of what is left, for what is held; the rest is for garbage
+	minHeldBytes       = 3 << 20 // with any memory limit
 	defaultMemoryMB    = 192     // if the configuration sets no limit
 	bytesPerMB         = 1 << 20
-
-	// garbageFactor is how many bytes are in use for each byte that is held: until the next collection the
-	// buffers in which a message grew are garbage.
-	garbageFactor = 2
 )
 
-// The shares of the budget up to which the accounts may fill it. Short messages can be read while long ones
-// use up their share.
+// The shares of the kinds of use in what is held. Each kind has a share of its own, so that short requests are
+// read and answered while long ones, or answers that are not read, use up theirs.
 const (
-	longMessageShare  = 0.5
-	shortMessageShare = 0.75
+	longMessageShare  = 0.3
+	shortMessageShare = 0.4
+	answerShare       = 0.3
 )
 
 const (
@@ -37,9 +35,9 @@
 // memoryBudget limits the bytes that the process holds for clients. Without it a few clients could take the
 // process over its memory limit, and the platform would kill it.
 type memoryBudget struct {
-	budget        *bytebudget.Budget
-	longMessages  *bytebudget.Account // messages that are being read, and open requests
-	shortMessages *bytebudget.Account // the same of short messages
+	longMessages  *bytebudget.Budget // messages that are being read, and open requests
+	shortMessages *bytebudget.Budget // the same of short messages
+	answers       *bytebudget.Budget // results that are being fetched, and output that clients have not read
 }
 
 // newMemoryBudget returns the budget of a process with a memory limit in MB; 0 means that there is none.
@@ -47,30 +45,27 @@
 	if memoryMB <= 0 {
 		memoryMB = defaultMemoryMB
 	}
-	free := int64(memoryMB*softMemoryFraction*bytesPerMB) - restBytes
-	budget := bytebudget.New(max(free/garbageFactor, minHeldBytes))
-	return &memoryBudget{budget: budget, longMessages: budget.Account(longMessageShare),
-		shortMessages: budget.Account(shortMessageShare)}
+	held := max((memoryMB*softMemoryFraction*bytesPerMB-restBytes)*heldFraction, minHeldBytes)
+	return &memoryBudget{longMessages: bytebudget.New(int64(held * longMessageShare)),
+		shortMessages: bytebudget.New(int64(held * shortMessageShare)),
+		answers:       bytebudget.New(int64(held * answerShare))}
 }
 
-// used returns how many bytes are held in all accounts.
-func (m *memoryBudget) used() int64 { return m.budget.Used() }
-
-// messageAccount returns the account of messages of a length.
-func (m *memoryBudget) messageAccount(length int) *bytebudget.Account {
+// ofMessage returns the budget of messages of a length.
+func (m *memoryBudget) ofMessage(length int) *bytebudget.Budget {
 	if length > maxShortMessageBytes {
 		return m.longMessages
 	}
 	return m.shortMessages
 }
 
-// stats returns the bytes in use and the number of refusals of each account, for the log.
+// stats returns the bytes in use and the number of refusals of each kind, for the log.
 func (m *memoryBudget) stats() slog.Attr {
-	return slog.Group("memory", accountStats("long_messages", m.longMessages),
-		accountStats("short_messages", m.shortMessages))
+	return slog.Group("memory", budgetStats("long_messages", m.longMessages),
+		budgetStats("short_messages", m.shortMessages), budgetStats("answers", m.answers))
 }
 
-func accountStats(name string, account *bytebudget.Account) slog.Attr {
-	used, refused := account.Stats()
+func budgetStats(name string, budget *bytebudget.Budget) slog.Attr {
+	used, refused := budget.Stats()
 	return slog.Group(name, "bytes", used, "refused", refused)
 }
--- a/internal/platform/memorylimit_test.go
+++ b/internal/platform/memorylimit_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"cresspass/internal/frontend/thriftserver"
 	"cresspass/internal/protocol/thrift"
 )
 
@@ -235,3 +239,55 @@
 		})
 	})
 }
+
+// TestUnreadAnswersStayWithinMemory guards against memory that grows with answers that clients do not read:
+// each connection could hold 4 MB of them.
+func TestUnreadAnswersStayWithinMemory(t *testing.T) {
+	forEachMemoryLimit(t, func(t *testing.T, memoryMB, sockets int) {
+		p := startLimited(t, memoryMB, sockets, func(h *harness) { h.serveLargeResults() })
+		p.checkUnderLoad(t, memoryMB, func() {
+			// A socket on the loopback interface holds a few MB, so each client asks for more than that.
+			const clients, rounds = 30, 15
+			var unread []*testClient
+			for range clients {
+				unread = append(unread, p.dialUnread(t))
+			}
+			for range rounds {
+				for _, client := range unread {
+					sendCheapRequests(client, thriftserver.MaxOpenRequests)
+				}
+				time.Sleep(loadDuration / rounds)
+			}
+		})
+	})
+}
+
+// sendCheapRequests sends requests that cost their compute node little. It ignores the error of a connection
+// that the process has closed.
+func sendCheapRequests(client *testClient, requests int) {
+	var b []byte
+	for range requests {
+		client.lastSeq++
+		fields := requestFields(fmt.Sprintf("%016x", rand.Uint64()), "quick", "2000", "cpu", "1")
+		b = thrift.Dispatch{Fields: fields, Body: []byte("SELECT 1")}.Append(b, client.lastSeq)
+	}
+	client.conn.Write(b)
+}
+
+// dialUnread connects a client whose socket holds little that it does not read.
+func (p *testProcess) dialUnread(t *testing.T) *testClient {
+	const receiveBuffer = 4 << 10
+	dialer := net.Dialer{Control: func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+		})
+		return errors.Join(err, setErr)
+	}}
+	conn, err := dialer.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return newTestClient(t, conn)
+}
--- a/internal/platform/messagebuffer.go
+++ b/internal/platform/messagebuffer.go
@@ -30,8 +30,8 @@
 type messageBuffer struct {
 	memory   *memoryBudget
 	bytes    []byte
-	account  *bytebudget.Account // of the message
-	reserved int64               // in account
+	budget   *bytebudget.Budget // of the message
+	reserved int64              // in budget
 }
 
 // read reads a message and returns it without its length. The message is valid until the next call. If there
@@ -47,7 +47,7 @@
 		return nil, errMalformedFrame
 	}
 	length := int(claimed)
-	b.account = b.memory.messageAccount(length)
+	b.budget = b.memory.ofMessage(length)
 	for len(b.bytes) < length {
 		if !b.grow(length) {
 			if _, err := reader.Discard(length - len(b.bytes)); err != nil {
@@ -74,7 +74,7 @@
 	size := min(max(2*cap(b.bytes), freeMessageBytes), length)
 	if size > freeMessageBytes {
 		more := int64(size) - b.reserved
-		if !b.account.TryReserve(more) {
+		if !b.budget.TryReserve(more) {
 			return false
 		}
 		b.reserved += more
@@ -87,11 +87,11 @@
 // message itself. It returns false if there is no memory.
 func (b *messageBuffer) reserveRequest() (*bytebudget.Reservation, bool) {
 	total := int64(requestOverheadBytes + cap(b.bytes))
-	if !b.account.TryReserve(total - b.reserved) {
+	if !b.budget.TryReserve(total - b.reserved) {
 		return nil, false
 	}
 	b.reserved = 0
-	return b.account.Reservation(total), true
+	return b.budget.Reservation(total), true
 }
 
 // handOver leaves the current message to a request. The buffer does not use its memory any more.
@@ -104,7 +104,7 @@
 	}
 	b.bytes = b.bytes[:0]
 	if b.reserved > 0 {
-		b.account.Release(b.reserved)
+		b.budget.Release(b.reserved)
 		b.reserved = 0
 	}
 }
