Node: clients that send without a pause are read in turns; dead timers go

Cause: a connection's goroutine handles messages as long as there are any; with a few of them the loop, the attempts and other connections wait for the processor and the loop's queue grows. The timers of a cancelled query stayed in the wheel until its deadline, up to an hour. A connection that ends discarded input at full speed.

Change: readTurns. The wait is deducted from deadlines. Accepting and discarding take turns too. Core checks timers each second and drops those of ended queries; Gateway.TimerQuery tells whose a timer is, decisions are unchanged.

--- a/gateway.go
+++ b/gateway.go
@@ -232,6 +232,13 @@
 
 func queryOfLabel(label uint64) QueryID { return QueryID(label - 1) }
 
+// TimerQuery returns the query that a timer belongs to, given the label of its SetTimer action. Once the
+// query has ended the timer has no effect and may be dropped. ok is false if the timer belongs to no query.
+func (g *Gateway) TimerQuery(label uint64) (id QueryID, ok bool) { return TimerQuery(label) }
+
+// TimerQuery is Gateway.TimerQuery for a gateway in another process.
+func TimerQuery(label uint64) (id QueryID, ok bool) { return queryOfLabel(label), label != tickLabel }
+
 // decayFactor returns the share of a value that remains after one tick, given its half-life.
 func decayFactor(halfLife time.Duration) float64 {
 	return math.Exp2(-tickInterval.Seconds() / halfLife.Seconds())
--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -13,7 +13,7 @@
 	case cresspass.Send:
 		c.startAttempt(action, q)
 	case cresspass.SetTimer:
-		c.timers.Schedule(c.now+action.Wait, timerTarget{isModuleTimer: true, label: action.Label})
+		c.schedule(c.now+action.Wait, timerTarget{isModuleTimer: true, label: action.Label})
 	case cresspass.Reject, cresspass.Fail:
 		c.rejectOrFail(action, q)
 	case cresspass.SetResources:
@@ -73,7 +73,7 @@
 		c.stats.Retries++
 	}
 	if action.Wait > 0 && c.now+action.Wait < q.deadline {
-		c.timers.Schedule(c.now+action.Wait, timerTarget{query: q.id, attempt: number})
+		c.schedule(c.now+action.Wait, timerTarget{query: q.id, attempt: number})
 	}
 	c.outputs = append(c.outputs, Output{Type: StartAttempt, Query: q.id, Attempt: number,
 		Engine: action.Engine, Priority: q.priority, MemoryGrantMB: q.memoryGrantMB,
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -46,6 +46,11 @@
 	overdueQueries []cresspass.QueryID // whose answer grace ended in this step
 }
 
+// timerOwner is a Decider that tells which query a timer belongs to, as cresspass.Gateway does.
+type timerOwner interface {
+	TimerQuery(label uint64) (id cresspass.QueryID, ok bool)
+}
+
 // noAttempt is the attempt of a timerTarget that belongs to the query as a whole.
 const noAttempt = -1
 
@@ -57,8 +62,13 @@
 	label         uint64
 	query         cresspass.QueryID
 	attempt       int
+	due           time.Duration
 }
 
+// maxTimerDelay is how long a timer is kept before it is checked again. A query can be cancelled long before
+// its deadline; without a check, the timers of cancelled queries would be kept until then.
+const maxTimerDelay = time.Second
+
 // NewCore returns a Core with a new cresspass.Gateway, its time starting at now. It returns the gateway's
 // error if the configuration is invalid.
 func NewCore(cfg cresspass.Config, now time.Duration) (*Core, error) {
@@ -136,8 +146,47 @@
 	}
 }
 
-// fireTimer handles a timer that has expired.
+// schedule sets a timer.
+func (c *Core) schedule(due time.Duration, target timerTarget) {
+	target.due = due
+	c.timers.Schedule(min(due, c.now+maxTimerDelay), target)
+}
+
+// needsTimer reports whether a timer still has an effect.
+func (c *Core) needsTimer(target timerTarget) bool {
+	if target.isModuleTimer {
+		return c.needsModuleTimer(target.label)
+	}
+	if target.attempt != noAttempt {
+		return c.queries[target.query].attemptIndex(target.attempt) >= 0
+	}
+	return c.isOpen(target.query)
+}
+
+// needsModuleTimer reports whether a timer of the decision module may still have an effect.
+func (c *Core) needsModuleTimer(label uint64) bool {
+	owner, ok := c.decider.(timerOwner)
+	if !ok {
+		return true
+	}
+	id, ok := owner.TimerQuery(label)
+	return !ok || c.isOpen(id)
+}
+
+// isOpen reports whether a query has not ended.
+func (c *Core) isOpen(id cresspass.QueryID) bool {
+	q := c.queries[id]
+	return q != nil && !q.ended
+}
+
+// fireTimer handles a timer that has expired, or that is to be checked.
 func (c *Core) fireTimer(target timerTarget) {
+	if target.due > c.now {
+		if c.needsTimer(target) {
+			c.schedule(target.due, target)
+		}
+		return
+	}
 	switch q := c.queries[target.query]; {
 	case target.isModuleTimer:
 		c.events = append(c.events, cresspass.Event{Type: cresspass.TimerFired, Label: target.label})
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -250,3 +250,52 @@
 		t.Errorf("outputs %+v, counts %+v", out, st)
 	}
 }
+
+// TestTimersOfCancelledQueriesEnd guards against memory that grows with queries that were cancelled long
+// before their deadline: their timers were kept until then.
+func TestTimersOfCancelledQueriesEnd(t *testing.T) {
+	const queries = 1000
+	core, err := NewCore(testConfig(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Hour
+	core.Step(now, []cresspass.Event{engineList(1)})
+	before := core.Stats().Timers
+	for id := cresspass.QueryID(1); id <= queries; id++ {
+		core.Step(now, []cresspass.Event{
+			{Type: cresspass.QueryArrived, Query: id, Class: idempotentClass, RemainingDeadline: time.Hour},
+			{Type: cresspass.QueryAbandoned, Query: id, Outcome: cresspass.OutcomeCancelled}})
+	}
+	for range 2 * maxTimerDelay / (20 * ms) {
+		now += 20 * ms
+		core.Step(now, nil)
+	}
+	if left := core.Stats().Timers; left > before+1 {
+		t.Errorf("%d timers are left of %d cancelled queries, %d were there before", left, queries, before)
+	}
+}
+
+// TestLongTimerFiresOnce checks that a query whose deadline is far away is ended then, neither earlier nor
+// twice.
+func TestLongTimerFiresOnce(t *testing.T) {
+	const deadline = 5*maxTimerDelay + 300*ms
+	core, err := NewCore(testConfig(), time.Hour)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var ends []time.Duration
+	events := []cresspass.Event{engineList(1), {Type: cresspass.QueryArrived, Query: 1,
+		Class: idempotentClass, RemainingDeadline: deadline}}
+	for passed := time.Duration(0); passed < 2*deadline; passed += 10 * ms {
+		for _, output := range core.Step(time.Hour+passed, events) {
+			if output.Type == RejectQuery || output.Type == FailQuery {
+				ends = append(ends, passed)
+			}
+		}
+		events = nil
+	}
+	if len(ends) != 1 || ends[0] < deadline-200*ms || ends[0] > deadline+testConfig().Rules.AnswerGrace {
+		t.Errorf("a query with a deadline of %v ended after %v", deadline, ends)
+	}
+}
--- a/internal/dispatch/events.go
+++ b/internal/dispatch/events.go
@@ -36,7 +36,7 @@
 	}
 	c.queries[event.Query] = q
 	c.stats.Arrived++
-	c.timers.Schedule(q.deadline+c.answerGrace, timerTarget{query: q.id, attempt: noAttempt})
+	c.schedule(q.deadline+c.answerGrace, timerTarget{query: q.id, attempt: noAttempt})
 	return true
 }
 
--- a/internal/dispatch/loop.go
+++ b/internal/dispatch/loop.go
@@ -107,6 +107,20 @@
 	}
 }
 
+// AfterStep schedules a call of a function in the loop's goroutine, after the next step that begins. It does
+// not wait. Once the loop is closed the function is not called. The function must not block.
+func (l *Loop) AfterStep(call func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.closed {
+		l.inspections = append(l.inspections, func(*Core) { call() })
+		l.signal()
+	}
+}
+
+// Done returns a channel that is closed when the loop has ended.
+func (l *Loop) Done() <-chan struct{} { return l.done }
+
 // signal wakes the loop. It does nothing if a signal is already pending.
 func (l *Loop) signal() {
 	select {
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -26,10 +26,15 @@
 	defer f.listener.Close()
 	var queue acceptQueue
 	emptyPolls, acceptErrors := 0, 0 // consecutive
+	// Connections that come without a pause are accepted in turns, apart from those of the readers.
+	turn := turn{turns: &readTurns{loop: f.service.loop}}
+	defer turn.end()
 	for {
 		begun := time.Now()
 		conn, err := f.service.system.accept(f.listener)
-		queue.observe(begun, time.Now(), err != nil)
+		if queue.observe(begun, time.Now(), err != nil) {
+			turn.end()
+		}
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
@@ -48,6 +53,7 @@
 		default:
 			emptyPolls, acceptErrors = 0, 0
 			f.accepted(conn, &queue)
+			turn.add(0)
 		}
 	}
 }
@@ -119,14 +125,16 @@
 	failingSince time.Time // first error since the backlog was last empty; zero if there was none
 }
 
-// observe records how an accept ended.
-func (q *acceptQueue) observe(begun, ended time.Time, failed bool) {
+// observe records how an accept ended. It reports whether the backlog was empty.
+func (q *acceptQueue) observe(begun, ended time.Time, failed bool) (empty bool) {
+	empty = !failed && ended.Sub(begun) > acceptBlockedAfter // it blocked
 	switch {
 	case failed && q.failingSince.IsZero():
 		q.failingSince = begun
-	case !failed && ended.Sub(begun) > acceptBlockedAfter: // it blocked, so the backlog was empty
+	case empty:
 		q.failingSince = time.Time{}
 	}
+	return empty
 }
 
 // maxWait returns how long a connection that was just accepted may have been in the backlog, at most.
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -79,6 +79,7 @@
 	emptyAt   time.Duration // when the socket was last seen empty, on the service's clock
 	readable  bool          // input was seen in the socket since the last read
 	message   messageBuffer // the message that is being read
+	turn      turn
 
 	// Guarded by frontend.mu.
 	holdsInput bool   // bytes that were read may hold a message that was not handled yet
@@ -98,7 +99,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{frontend: f, conn: conn, raw: raw, message: messageBuffer{memory: f.service.memory}}
+	c := &clientConn{frontend: f, conn: conn, raw: raw, message: messageBuffer{memory: f.service.memory},
+		turn: turn{turns: f.turns}}
 	socket := &deadlineReader{conn: conn, hasUnread: c.hasUnread, setTimeout: c.setReadTimeout}
 	c.reader = bufio.NewReaderSize(&inputReader{client: c, socket: socket}, requestBufferBytes)
 	return c, nil
@@ -169,6 +171,7 @@
 	if !handled {
 		return errMalformedFrame
 	}
+	c.turn.add(len(frame))
 	return nil
 }
 
@@ -184,7 +187,7 @@
 	}
 	c.frontend.mu.Lock()
 	// Measured under the lock: a stall while this goroutine waited for the lock counts as well.
-	c.readDelay = max(c.readDelay, service.stalls.maxWait(c.emptyAt, c.sinceLastInput))
+	c.readDelay = max(c.readDelay, c.turn.waited, service.stalls.maxWait(c.emptyAt, c.sinceLastInput))
 	verdict := handle(time.Now().Add(-c.readDelay), c.id, message)
 	c.holdsInput = c.reader.Buffered() > 0
 	c.messages++
@@ -283,6 +286,7 @@
 	open := c.frontend.forget(c.id)
 	c.frontend.mu.Unlock()
 	c.message.reset()
+	c.turn.end()
 	c.conn.Close()
 	for _, request := range open {
 		c.frontend.service.abandonRequest(request, goneDisconnected)
--- a/internal/platform/clientread.go
+++ b/internal/platform/clientread.go
@@ -38,6 +38,7 @@
 			empty := errors.Is(peekErr, syscall.EAGAIN)
 			if empty {
 				c.readDelay, c.emptyAt = 0, c.frontend.service.clock()
+				c.turn.end()
 			}
 			return !empty
 		})
--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -206,8 +206,13 @@
 func (c *clientConn) discardInput() {
 	b := make([]byte, requestBufferBytes)
 	for {
-		if _, err := c.conn.Read(b); err != nil {
+		if c.turn.granted && !c.hasUnread() {
+			c.turn.end() // the read may wait
+		}
+		n, err := c.conn.Read(b)
+		if err != nil {
 			return
 		}
+		c.turn.add(n)
 	}
 }
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -30,6 +30,7 @@
 	service     *service
 	listener    *net.TCPListener
 	descriptors *descriptorBudget
+	turns       *readTurns
 	done        chan struct{} // closed by run once it accepts no more connections
 	overflow    chan struct{} // semaphore: one element for each connection served beyond the capacity
 
@@ -45,7 +46,8 @@
 func newFrontend(s *service, listener *net.TCPListener, descriptors *descriptorBudget) *frontend {
 	return &frontend{service: s, listener: listener, descriptors: descriptors, idleTimeout: clientIdleTimeout,
 		writeTimeout: clientWriteTimeout, registry: thriftserver.New(&s.cfg.Module),
-		done: make(chan struct{}), overflow: make(chan struct{}, maxOverflowConns),
+		turns: &readTurns{loop: s.loop},
+		done:  make(chan struct{}), overflow: make(chan struct{}, maxOverflowConns),
 		conns:          map[thriftserver.ConnID]*clientConn{},
 		closedByReason: map[closeReason]uint64{}}
 }
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -16,8 +16,8 @@
 	bytesPerMB         = 1 << 20
 )
 
-// The shares of the kinds of use in what is held. Each kind has a share of its own, so that short requests are
-// read and answered while long ones, or answers that are not read, use up theirs.
+// The shares of the kinds of use in what is held. Each kind has its own, so that short requests are read and
+// answered while long ones, or answers that are not read, use up theirs.
 const (
 	longMessageShare  = 0.3
 	shortMessageShare = 0.4
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -33,6 +33,7 @@
 	go func() {
 		defer func() { <-f.overflow }()
 		defer client.conn.Close()
+		defer client.turn.end()
 		client.rejectMessages()
 	}()
 }
@@ -69,6 +70,7 @@
 	default:
 		return false
 	}
+	c.turn.add(len(frame))
 	c.frontend.mu.Lock()
 	result := c.frontend.registry.RejectMessage(message)
 	c.frontend.mu.Unlock()
--- a/internal/simulation/wirehost/host.go
+++ b/internal/simulation/wirehost/host.go
@@ -133,5 +133,10 @@
 // Snapshot returns nil, because the protocol has no snapshots.
 func (it *Instance) Snapshot() []byte { return nil }
 
+// TimerQuery returns the query that a timer belongs to: the program has the same gateway as this one.
+func (it *Instance) TimerQuery(label uint64) (id cresspass.QueryID, ok bool) {
+	return cresspass.TimerQuery(label)
+}
+
 // Restore does nothing, because the protocol has no snapshots.
 func (it *Instance) Restore([]byte, time.Duration) error { return nil }
