Node: nothing is sent for a client that has closed; an id runs once

Cause: clientWaiting counted a client as waiting after 1,024 further messages, although its close lay unread behind them. The registry knew a ticket only while its request was open, and a compute node knows a query by its ticket alone.

Change: the kernel's state of the connection shows the close ahead of unread input; an attempt waits until the socket was empty or 2 MB were handled. The registry remembers tickets from when they are sent, in two bounded generations, idempotent queries apart from others; the check and the record are one step.

--- a/internal/frontend/thriftserver/registry.go
+++ b/internal/frontend/thriftserver/registry.go
@@ -20,6 +20,7 @@
 	errSeqOpen     = errors.New("this number is open already")
 	errTooManyOpen = errors.New("too many requests open on this connection")
 	errTicketOpen  = errors.New("txn is open already")
+	errTicketUsed  = errors.New("txn was sent to a compute node before")
 )
 
 // Request is a client's request that has no reply yet.
@@ -45,6 +46,7 @@
 	conns     map[ConnID]*conn
 	requests  map[cresspass.QueryID]*Request // all open requests
 	byTicket  map[string]*Request            // all open requests, by ticket
+	tickets   ticketHistory
 	lastID    cresspass.QueryID
 	draining  bool // calls of the method alive are answered with false
 	rejectNew bool // all new requests are rejected
@@ -53,7 +55,8 @@
 // New returns a registry without connections, for the classes of a configuration.
 func New(cfg *cresspass.Config) *Registry {
 	r := &Registry{effects: map[string]cresspass.Effect{}, conns: map[ConnID]*conn{},
-		requests: map[cresspass.QueryID]*Request{}, byTicket: map[string]*Request{}}
+		requests: map[cresspass.QueryID]*Request{}, byTicket: map[string]*Request{},
+		tickets: newTicketHistory()}
 	for _, class := range cfg.Classes {
 		r.effects[class.Name] = class.Effect
 	}
@@ -106,6 +109,9 @@
 		// A compute node identifies a query only by its ticket: with two open requests of one ticket, one
 		// would get the other's rows.
 		return nil, errTicketOpen
+	case r.tickets.used(parseTicket(m.params.Ticket)):
+		// The request's client has left, or it has been answered.
+		return nil, errTicketUsed
 	}
 	r.lastID++
 	req := &Request{Params: m.params, ID: r.lastID, Conn: id, Seq: seq,
@@ -114,6 +120,22 @@
 	return req, nil
 }
 
+// BeginAttempt records that an attempt of a request is sent. It returns false if the request has ended: then
+// the attempt must not be sent. From then on, no other request of the ticket is accepted. EndAttempt must
+// follow if BeginAttempt returns true.
+func (r *Registry) BeginAttempt(req *Request) bool {
+	if r.requests[req.ID] != req {
+		return false
+	}
+	r.tickets.begin(parseTicket(req.Ticket))
+	return true
+}
+
+// EndAttempt records that an attempt is over, and whether its query may have run.
+func (r *Registry) EndAttempt(req *Request, mayHaveRun bool) {
+	r.tickets.end(parseTicket(req.Ticket), r.effects[req.Class], mayHaveRun)
+}
+
 // endRequest removes an open request.
 func (r *Registry) endRequest(c *conn, req *Request) {
 	req.Memory.Release()
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -53,7 +53,8 @@
 		default:
 			emptyPolls, acceptErrors = 0, 0
 			f.accepted(conn, &queue)
-			turn.add(0)
+			turn.addRequest()
+			turn.addMessage(0)
 		}
 	}
 }
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -42,6 +42,7 @@
 	// Used only by run's goroutine.
 	suspected   duplicateresponse.Fingerprint // of the last response, if it may be a duplicate; else 0
 	checkedAt   time.Time                     // when mayStart last checked
+	ticketHeld  bool                          // the registry counts the attempt as sent
 	resultBytes int64                         // reserved for the pages of the result
 
 	mu          sync.Mutex // guards the fields below
@@ -220,6 +221,11 @@
 		a.service.events.Add(a.event(eventlog.AttemptWithheld, verdict.String()))
 		return eventType, false
 	}
+	// The client is checked again: since the first check it may have left and sent its ticket again.
+	if !a.service.frontend.beginAttempt(a) {
+		a.service.events.Add(a.event(eventlog.AttemptWithheld, "client gone"))
+		return computenode.NotNeeded, false
+	}
 	a.service.events.Add(a.event(eventlog.AttemptSent, ""))
 	return 0, true
 }
--- a/internal/platform/attempt_test.go
+++ b/internal/platform/attempt_test.go
@@ -296,16 +296,18 @@
 		t.Fatal(err)
 	}
 	var cancels []byte
-	for range 4 * maxMessagesAhead {
+	for range 4096 {
 		cancels = thrift.CancelRequest{TargetSeq: 7}.Append(cancels, 8) // 7 is not open
 	}
+	const seq = 21
+	request := thrift.Dispatch{Fields: requestFields(ticket(1), "quick", "15000"), Body: []byte("SELECT 1")}
 	go func() {
-		for err := error(nil); err == nil; {
+		// One goroutine writes all: a second one would wait until this one pauses.
+		_, err := client.conn.Write(request.Append(bytes.Clone(cancels), seq))
+		for err == nil {
 			_, err = client.conn.Write(cancels)
 		}
 	}()
-	client.lastSeq = 20
-	seq := client.send(requestFields(ticket(1), "quick", "15000"))
 	if got := client.receive(); got.kind != "answer" || got.seq != seq {
 		t.Errorf("got %+v, want an answer", got)
 	}
--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -13,6 +15,7 @@
 	"cresspass/internal/eventlog"
 	"cresspass/internal/frontend/thriftserver"
 	"cresspass/internal/protocol/thrift"
+	"cresspass/internal/tcpinfo"
 )
 
 // Limits of a client's connection.
@@ -72,6 +75,8 @@
 	writeTimeout time.Duration
 	conn         *net.TCPConn
 	raw          syscall.RawConn
+	tellsState   bool          // the system tells the connection's state
+	drained      atomic.Uint64 // how often the socket was seen empty: all messages before were handled
 	reader       *bufio.Reader
 
 	// Used only by serve's goroutine.
@@ -82,8 +87,8 @@
 	turn      turn
 
 	// Guarded by frontend.mu.
-	holdsInput bool   // bytes that were read may hold a message that was not handled yet
-	messages   uint64 // number of messages handled
+	holdsInput   bool   // bytes that were read may hold a message that was not handled yet
+	handledBytes uint64 // of the messages handled
 
 	mu              sync.Mutex // guards the fields below, and the read deadline against closing
 	pending         []byte     // output that is not being written yet; its bytes are reserved
@@ -101,6 +106,9 @@
 	}
 	c := &clientConn{frontend: f, conn: conn, raw: raw, message: messageBuffer{memory: f.service.memory},
 		turn: turn{turns: f.turns}}
+	// Where the system tells another state for a connection that was just accepted, it is not relied upon.
+	state := tcpinfo.StateOf(raw)
+	c.tellsState = state == tcpinfo.Open || state == tcpinfo.PeerClosed
 	socket := &deadlineReader{conn: conn, hasUnread: c.hasUnread, setTimeout: c.setReadTimeout}
 	c.reader = bufio.NewReaderSize(&inputReader{client: c, socket: socket}, requestBufferBytes)
 	return c, nil
@@ -171,7 +179,9 @@
 	if !handled {
 		return errMalformedFrame
 	}
-	c.turn.add(len(frame))
+	if c.turn.addMessage(len(frame)) && c.closedByPeer() {
+		return io.EOF // what is left unread is not handled: no client waits for it
+	}
 	return nil
 }
 
@@ -190,7 +200,7 @@
 	c.readDelay = max(c.readDelay, c.turn.waited, service.stalls.maxWait(c.emptyAt, c.sinceLastInput))
 	verdict := handle(time.Now().Add(-c.readDelay), c.id, message)
 	c.holdsInput = c.reader.Buffered() > 0
-	c.messages++
+	c.handledBytes += uint64(len(c.message.bytes))
 	if mutantEnabled(mutantNoOrderingKey) {
 		verdict.Event.Key = ""
 	}
@@ -204,6 +214,7 @@
 	}
 	c.frontend.mu.Unlock()
 	if verdict.Accepted != nil {
+		c.turn.addRequest()
 		c.message.handOver()
 	} else {
 		message.Memory.Release()
--- a/internal/platform/clientread.go
+++ b/internal/platform/clientread.go
@@ -38,6 +38,7 @@
 			empty := errors.Is(peekErr, syscall.EAGAIN)
 			if empty {
 				c.readDelay, c.emptyAt = 0, c.frontend.service.clock()
+				c.drained.Add(1)
 				c.turn.end()
 			}
 			return !empty
@@ -112,6 +113,12 @@
 	return result
 }
 
+// closedByPeer reports whether the client has closed or reset the connection. Unlike peek, it notices that
+// before the input that came before is read.
+func (c *clientConn) closedByPeer() bool {
+	return c.tellsState && tcpinfo.StateOf(c.raw) == tcpinfo.PeerClosed
+}
+
 // sinceLastInput returns how long ago the system received the last bytes on the connection; 0 if unknown.
 func (c *clientConn) sinceLastInput() time.Duration { return tcpinfo.SinceData(c.raw) }
 
--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -213,6 +213,6 @@
 		if err != nil {
 			return
 		}
-		c.turn.add(n)
+		c.turn.addMessage(n)
 	}
 }
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -15,10 +15,13 @@
 	"cresspass/internal/protocol/thrift"
 )
 
-// maxMessagesAhead limits how many messages of a client are handled while clientWaiting waits: after so many,
-// the input that was in the socket when the wait began counts as handled. Without the limit, clientWaiting
-// would wait until its time limit for a client that writes faster than its messages are read.
-const maxMessagesAhead = 1024
+// maxBytesAhead limits how much input of a client is handled while clientWaiting waits: after so many bytes,
+// the input that was sent when the wait began counts as handled; the buffers of both sockets seldom hold
+// more. Without the limit, a client that writes without a pause would not be served in time.
+const maxBytesAhead = 2 << 20
+
+// maxCheckInterval is the longest pause between two checks of clientWaiting.
+const maxCheckInterval = 16 * time.Millisecond
 
 // retryAfterField is the field of a rejection with the time after which to retry, in milliseconds.
 const retryAfterField = "later"
@@ -135,35 +138,60 @@
 	return request
 }
 
+// beginAttempt records that an attempt is sent. It returns false if its request has ended. An attempt of
+// which no byte was written may begin again.
+func (f *frontend) beginAttempt(a *attempt) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.ticketHeld {
+		return f.registry.Lookup(a.request.ID) != nil
+	}
+	a.ticketHeld = f.registry.BeginAttempt(a.request)
+	return a.ticketHeld
+}
+
+// endAttempt records the outcome of an attempt.
+func (f *frontend) endAttempt(a *attempt, outcome cresspass.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if a.ticketHeld {
+		f.registry.EndAttempt(a.request, !outcome.NeverRan())
+	}
+}
+
 // clientWaiting reports whether a request's client still waits for it, and when that was checked. Input that
-// is unread, or was read and not handled yet, may hold a cancel: after a stall of the process the attempt can
-// be due before the cancel is read. So clientWaiting waits until the client's reader has handled such input,
-// but not beyond the time by.
+// is unread, or was read and not handled yet, may hold a cancel, and the client may have closed the
+// connection behind it: after a stall of the process, or with much input, the attempt can be due before that
+// is read. So clientWaiting waits until the client's reader has handled the input, but not beyond the time
+// by.
 func (f *frontend) clientWaiting(request *thriftserver.Request, by time.Time) (checkedAt time.Time,
 	waiting bool) {
 	if mutantEnabled(mutantNoClientCheck) {
 		return time.Now(), f.request(request.ID) != nil
 	}
 	check := clientCheck{frontend: f, request: request}
-	for {
+	for pause := peekRetryInterval; ; pause = min(2*pause, maxCheckInterval) {
 		checkedAt = time.Now()
 		waiting, handled := check.poll()
 		if !waiting || handled || !checkedAt.Before(by) {
 			return checkedAt, waiting
 		}
-		time.Sleep(peekRetryInterval)
+		time.Sleep(pause)
 	}
 }
 
 // clientCheck checks, possibly several times, whether a request's client waits for it.
 type clientCheck struct {
-	frontend     *frontend
-	request      *thriftserver.Request
-	messageLimit uint64 // value of clientConn.messages that ends the wait; 0 before the first check
+	frontend *frontend
+	request  *thriftserver.Request
+
+	begun      bool
+	drained    uint64 // value of clientConn.drained at the first check
+	bytesLimit uint64 // value of clientConn.handledBytes that ends the wait
 }
 
 // poll checks whether the client waits, judging by its connection and the messages that were handled. handled
-// reports whether all input that was there at the first check counts as handled.
+// reports whether all input that was sent before the first check counts as handled.
 func (c *clientCheck) poll() (waiting, handled bool) {
 	f := c.frontend
 	f.mu.Lock()
@@ -172,13 +200,15 @@
 	if client == nil || f.registry.Lookup(c.request.ID) == nil {
 		return false, true
 	}
-	if client.peek() == peekClosed {
+	if client.peek() == peekClosed || client.closedByPeer() {
 		return false, true
 	}
-	if c.messageLimit == 0 {
-		c.messageLimit = client.messages + maxMessagesAhead
+	if !c.begun {
+		c.begun = true
+		c.drained, c.bytesLimit = client.drained.Load(), client.handledBytes+maxBytesAhead
 	}
-	return true, !client.mayHoldMessage() || client.messages >= c.messageLimit
+	return true, !client.mayHoldMessage() || client.drained.Load() > c.drained ||
+		client.handledBytes >= c.bytesLimit
 }
 
 // respond writes a request's only answer. It returns false, and writes nothing, if the request has ended
--- a/internal/platform/overflow.go
+++ b/internal/platform/overflow.go
@@ -70,7 +70,7 @@
 	default:
 		return false
 	}
-	c.turn.add(len(frame))
+	c.turn.addMessage(len(frame))
 	c.frontend.mu.Lock()
 	result := c.frontend.registry.RejectMessage(message)
 	c.frontend.mu.Unlock()
--- a/internal/platform/readturns.go
+++ b/internal/platform/readturns.go
@@ -9,9 +9,10 @@
 )
 
 // The limits of a turn, after which a connection waits for the next one. A client that sends all the requests
-// that it may have open at once does not have to wait.
+// that it may have open at once does not have to wait. Messages that open no request cost less.
 const (
-	messagesPerTurn = thriftserver.MaxOpenRequests
+	requestsPerTurn = thriftserver.MaxOpenRequests
+	messagesPerTurn = 8 * requestsPerTurn
 	bytesPerTurn    = 64 << 10
 )
 
@@ -79,22 +80,28 @@
 type turn struct {
 	turns    *readTurns
 	granted  bool // by turns; the first turn after the socket was empty is not granted
-	messages int  // since the turn began
+	requests int  // since the turn began
+	messages int  // including requests
 	bytes    int
 	waited   time.Duration // for turns, since the socket was last empty
 }
 
-// add adds a message that was handled. If the turn is over, it waits for the next one.
-func (t *turn) add(bytes int) {
+// addRequest adds a request that was opened by the current message.
+func (t *turn) addRequest() { t.requests++ }
+
+// addMessage adds a message that was handled. If the turn is over, it waits for the next one and returns
+// true.
+func (t *turn) addMessage(bytes int) (waited bool) {
 	t.messages++
 	t.bytes += bytes
-	if t.messages < messagesPerTurn && t.bytes < bytesPerTurn {
-		return
+	if t.requests < requestsPerTurn && t.messages < messagesPerTurn && t.bytes < bytesPerTurn {
+		return false
 	}
-	waited, begun := t.waited, time.Now()
+	waitedBefore, begun := t.waited, time.Now()
 	t.end()
 	t.turns.await()
-	t.granted, t.waited = true, waited+time.Since(begun)
+	t.granted, t.waited = true, waitedBefore+time.Since(begun)
+	return true
 }
 
 // end ends the turn: the socket is empty, or the connection ends.
--- a/internal/platform/service.go
+++ b/internal/platform/service.go
@@ -206,6 +206,7 @@
 // attemptEnded records the outcome of an attempt and removes it.
 func (s *service) attemptEnded(a *attempt, outcome cresspass.Outcome) {
 	s.guard.endAttempt(a, outcome)
+	s.frontend.endAttempt(a, outcome)
 	s.events.Add(a.event(eventlog.AttemptEnded, outcomeName(outcome)))
 	s.mu.Lock()
 	defer s.mu.Unlock()
