Node: calls for an old compute node don't go to a new one at its address

Cause: an attempt dials the address that its compute node had at the decision. A new one there answers 500 for a query that it doesn't know, or confirms its DELETE, which counted as the query's end; the next attempt ran beside it.

Change: before a dial, the list is asked whether another compute node accepts queries at the address and the own one does not.

--- a/internal/backend/computenode/event.go
+++ b/internal/backend/computenode/event.go
@@ -16,6 +16,7 @@
 	ResponseReceived                  // Response is complete
 	ResponseLost                      // the request may have arrived; no readable response came
 	ConnRefused                       // a compute node that is not known to drain refused the connection
+	NodeReplaced                      // another compute node has the address; only if not Exclusive
 	Unreachable                       // no connection came up, or it broke before the call was written
 	NoDescriptor                      // no file descriptor was left for a connection
 	NotNeeded                         // nothing was written: no client waits for the query any more
--- a/internal/backend/computenode/machine.go
+++ b/internal/backend/computenode/machine.go
@@ -89,6 +89,9 @@
 		return m.handleResponse(now, took, ev.Response)
 	case !m.posted:
 		return Step{Type: End, Outcome: unstartedOutcome(ev.Type)}
+	case ev.Type == NodeReplaced:
+		// The query can't be asked for any more. It may run on where it is, beside its next attempt.
+		return Step{Type: End, Outcome: cresspass.OutcomeTimedOut}
 	case ev.Type == ConnRefused && m.processDead():
 		return Step{Type: End, Outcome: cresspass.OutcomeConnectionReset}
 	}
@@ -252,7 +255,7 @@
 
 // handleDeleteOutcome handles the outcome of a Delete, which is repeated until the query is known to be over.
 func (m *Machine) handleDeleteOutcome(now time.Duration, ev Event) Step {
-	over := ev.Type == ConnRefused && m.processDead() ||
+	over := ev.Type == NodeReplaced || ev.Type == ConnRefused && m.processDead() ||
 		ev.Type == ResponseReceived && confirmsDelete(ev.Response)
 	// An unconfirmed Start may still be in transit on its own connection and arrive after the Delete. Only a
 	// Delete that is sent when the Start can no longer be in transit shows that an exclusive query is over. A
--- a/internal/backend/computenode/machine_test.go
+++ b/internal/backend/computenode/machine_test.go
@@ -348,3 +348,28 @@
 		t.Errorf("non-exclusive query unknown: %+v, want an End with OutcomeTimedOut", step)
 	}
 }
+
+// TestNodeReplacedEndsAttempt checks that an attempt ends at once if another compute node has the address:
+// with the outcome of its stop, or else as timed out, and as not started if nothing was written.
+func TestNodeReplacedEndsAttempt(t *testing.T) {
+	running := Event{Type: ResponseReceived, Response: &nodehttp.Response{Status: 202}}
+	for name, c := range map[string]struct {
+		events  []Event
+		outcome cresspass.Outcome
+	}{
+		"before the start": {nil, cresspass.OutcomeConnectFailed},
+		"while it runs":    {[]Event{running, {Type: ResponseLost}}, cresspass.OutcomeTimedOut},
+		"while cancelled": {[]Event{running, {Type: Stop, Outcome: cresspass.OutcomeCancelled}},
+			cresspass.OutcomeCancelled},
+	} {
+		m, now := &Machine{}, time.Hour
+		m.Next(now, Event{Type: Begin})
+		for _, ev := range c.events {
+			now += 10 * ms
+			m.Next(now, ev)
+		}
+		if s := m.Next(now, Event{Type: NodeReplaced}); s.Type != End || s.Outcome != c.outcome {
+			t.Errorf("%s: step %d with outcome %d, want the end with %d", name, s.Type, s.Outcome, c.outcome)
+		}
+	}
+}
--- a/internal/discovery/sse/follower.go
+++ b/internal/discovery/sse/follower.go
@@ -28,8 +28,9 @@
 	addrs        map[cresspass.EngineID]string
 	locations    map[cresspass.EngineID]Location
 	accepting    map[cresspass.EngineID]bool
-	removed      []cresspass.EngineID // since the last call of TakeRemoved
-	now          func() time.Duration // the module's clock
+	acceptingAt  map[string]cresspass.EngineID // the compute node that accepts queries, by address
+	removed      []cresspass.EngineID          // since the last call of TakeRemoved
+	now          func() time.Duration          // the module's clock
 	startTimes   *starttime.Converter
 }
 
@@ -37,7 +38,8 @@
 // times to it.
 func NewFollower(now func() time.Duration, startTimes *starttime.Converter) *Follower {
 	return &Follower{addrs: map[cresspass.EngineID]string{}, locations: map[cresspass.EngineID]Location{},
-		accepting: map[cresspass.EngineID]bool{}, now: now, startTimes: startTimes}
+		accepting: map[cresspass.EngineID]bool{}, acceptingAt: map[string]cresspass.EngineID{}, now: now,
+		startTimes: startTimes}
 }
 
 // LastRevision returns the revision of the last event that was applied, or 0 if there is none.
@@ -61,6 +63,13 @@
 	return f.accepting[id] && f.addrs[id] == addr
 }
 
+// AddressTaken reports whether, by the last report, a compute node does not accept queries at an address any
+// more and another one does. A new connection to the address then reaches the other one.
+func (f *Follower) AddressTaken(id cresspass.EngineID, addr string) bool {
+	_, taken := f.acceptingAt[addr]
+	return taken && !f.AcceptsQueries(id, addr)
+}
+
 // Draining reports whether a compute node is on the list and draining.
 func (f *Follower) Draining(id cresspass.EngineID) bool { return f.addrs[id] != "" && !f.accepting[id] }
 
@@ -176,6 +185,7 @@
 	}
 	f.addrs = make(map[cresspass.EngineID]string, len(endpoints))
 	clear(f.accepting)
+	clear(f.acceptingAt)
 	clear(f.locations)
 	f.startTimes.Retain(func(id cresspass.EngineID) bool { return listed[id] })
 }
@@ -183,6 +193,9 @@
 // update stores what was reported about an endpoint.
 func (f *Follower) update(e *Endpoint) {
 	id := e.engineID()
+	if addr := f.addrs[id]; f.acceptingAt[addr] == id {
+		delete(f.acceptingAt, addr)
+	}
 	if e.State == stateRemoved {
 		delete(f.accepting, id)
 		delete(f.addrs, id)
@@ -195,4 +208,7 @@
 	if e.Addr != "" {
 		f.addrs[id], f.locations[id] = e.Addr, Location{e.Kind, e.Zone}
 	}
+	if f.accepting[id] {
+		f.acceptingAt[f.addrs[id]] = id
+	}
 }
--- a/internal/discovery/sse/follower_test.go
+++ b/internal/discovery/sse/follower_test.go
@@ -134,3 +134,42 @@
 		t.Error("a draining node accepts new queries, or has no address for the queries that it runs")
 	}
 }
+
+// TestAddressTaken checks when a compute node's address belongs to another one: once the other one accepts
+// queries there and the first one does not, until the other one leaves.
+func TestAddressTaken(t *testing.T) {
+	const addr = "10.0.0.1:1" // of all servers
+	f := newFollower()
+	for i, step := range []struct {
+		full    bool
+		servers string
+		taken   bool // from server a
+	}{
+		{true, server("a", "up", 0), false},
+		{false, server("a", "draining", 0), false},
+		{false, server("b", "up", 0), true},
+		{false, server("b", "draining", 0), false},
+		{false, server("b", "up", 0), true},
+		{false, server("a", "removed", 0), true},
+		{false, server("b", "removed", 0), false},
+		{false, server("a", "up", 0) + "," + server("b", "up", 0), false},
+		{false, server("a", "draining", 0), true},
+		{true, server("a", "draining", 0), false},
+		{true, server("c", "up", 0), true},
+	} {
+		var p Parser
+		if err := p.Feed([]byte(event(i+1, step.full, step.servers)), func(e Event) {
+			if _, result, err := f.Apply(e); result != Applied || err != nil {
+				t.Fatalf("event %d: result %v, error %v", i+1, result, err)
+			}
+		}); err != nil {
+			t.Fatal(err)
+		}
+		if taken := f.AddressTaken("a", addr); taken != step.taken {
+			t.Errorf("after event %d: the address is taken: %v, want %v", i+1, taken, step.taken)
+		}
+		if f.AddressTaken("a", "10.0.0.2:1") {
+			t.Errorf("after event %d: an address that no server has is taken", i+1)
+		}
+	}
+}
--- a/internal/platform/attemptcall.go
+++ b/internal/platform/attemptcall.go
@@ -19,7 +19,8 @@
 	defer cancel()
 	sleepContext(ctx, step.Delay)
 	wanted := connRequest{engine: a.engine, addr: a.addr, fresh: step.FreshConn,
-		urgent: step.Type == computenode.Delete, dueAt: a.decidedAt.Add(step.Due)}
+		urgent: step.Type == computenode.Delete, dueAt: a.decidedAt.Add(step.Due),
+		addressTaken: a.service.watcher.addressTaken}
 	for {
 		if conn == nil {
 			var err error
@@ -126,12 +127,16 @@
 }
 
 // classifyDialError returns the event for a connection that could not be obtained. A draining compute node
-// closes its listener and keeps running, so a refused connection does not prove that its process has died.
+// closes its listener and keeps running, so neither a refused connection nor another compute node at its
+// address proves that its process has died.
 func (a *attempt) classifyDialError(err error) computenode.EventType {
+	taken := errors.Is(err, errAddressTaken)
 	switch {
 	case errors.Is(err, errNoDescriptor):
 		return computenode.NoDescriptor
-	case errors.Is(err, syscall.ECONNREFUSED) && !a.service.watcher.draining(a.engine):
+	case taken && !a.exclusive:
+		return computenode.NodeReplaced
+	case (taken || errors.Is(err, syscall.ECONNREFUSED)) && !a.service.watcher.draining(a.engine):
 		return computenode.ConnRefused
 	}
 	return computenode.Unreachable
--- a/internal/platform/fakenode_test.go
+++ b/internal/platform/fakenode_test.go
@@ -127,6 +127,18 @@
 	return sum
 }
 
+// callsOf returns the calls for a ticket, in order.
+func (n *fakeNode) callsOf(ticket string) (calls []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, call := range n.calls {
+		if strings.HasSuffix(call, " "+ticket) {
+			calls = append(calls, call)
+		}
+	}
+	return calls
+}
+
 // hijack takes over the connection of a call from the server.
 func hijack(w http.ResponseWriter) (net.Conn, *bufio.Writer) {
 	conn, buffered, err := w.(http.Hijacker).Hijack()
--- a/internal/platform/healthcheck.go
+++ b/internal/platform/healthcheck.go
@@ -32,7 +32,8 @@
 	for {
 		begun := time.Now()
 		conn, err := s.pool.getWithRetry(s.watcher.ctx,
-			connRequest{engine: engine, addr: addr, urgent: true, dueAt: begun})
+			connRequest{engine: engine, addr: addr, urgent: true, dueAt: begun,
+				addressTaken: s.watcher.addressTaken})
 		if !errors.Is(err, errNoDescriptor) || s.watcher.ctx.Err() != nil {
 			return conn, begun, err
 		}
--- a/internal/platform/nodepool.go
+++ b/internal/platform/nodepool.go
@@ -33,6 +33,10 @@
 // for one. It does not indicate a fault of the compute node.
 var errNoDescriptor = errors.New("platform: no descriptor left for a compute node")
 
+// errAddressTaken is the error of a call for which no connection is made, because another compute node has
+// the address by now. It would take the call for one of its own queries.
+var errAddressTaken = errors.New("platform: another compute node has the address")
+
 // nodePool holds the connections to all compute nodes. It does the I/O for a connpool.Pool, which decides
 // which call gets a connection. It is safe for concurrent use.
 type nodePool struct {
@@ -66,6 +70,8 @@
 	fresh  bool      // require a new connection
 	urgent bool      // a short call that must not wait: it may use the headroom
 	dueAt  time.Time // when the connection is needed at the latest
+	// addressTaken reports whether another compute node has the address by now; nil: none has.
+	addressTaken func(engine cresspass.EngineID, addr string) bool
 }
 
 func newNodePool(sys *system, descriptors *descriptorBudget, connectTimeout,
@@ -107,6 +113,10 @@
 			return nil, err
 		}
 		if grant.Type == connpool.Dial {
+			if wanted.addressTaken != nil && wanted.addressTaken(wanted.engine, wanted.addr) {
+				p.returnGrant()
+				return nil, errAddressTaken
+			}
 			return p.dial(ctx, wanted)
 		}
 		conn := p.takeIdle(grant.Conn)
@@ -123,6 +133,13 @@
 	}
 }
 
+// returnGrant gives back a grant to dial.
+func (p *nodePool) returnGrant() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.apply(p.state.Closed(p.limits()))
+}
+
 // takeIdle removes a granted connection from the idle ones and returns it.
 func (p *nodePool) takeIdle(id uint64) *nodeConn {
 	p.mu.Lock()
--- a/internal/platform/watcher.go
+++ b/internal/platform/watcher.go
@@ -89,6 +89,13 @@
 		Accepting: w.follower.AcceptsQueries(engine, addr)}
 }
 
+// addressTaken reports whether another compute node than this one accepts queries at an address.
+func (w *watcher) addressTaken(engine cresspass.EngineID, addr string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.follower.AddressTaken(engine, addr)
+}
+
 // draining reports whether a compute node is draining.
 func (w *watcher) draining(engine cresspass.EngineID) bool {
 	w.mu.Lock()
