serve: what PostgreSQL clients have sent and is held has a limit in bytes

What callers see: clients that stop half way through long messages, prepare long statements or bind many portals make cresspass serve hold their bytes without a limit: 16 MB a message, 1,000 statements, any number of portals, 10,000 clients.

Change: the setting max_input_memory (256 MB). A session counts what it holds of its client's input; the client reserves it beyond 4 kB. Without room it is told 53200 and its connection is closed; what it held is free again. namedObjects holds prepared statements and portals with their bytes.

The golden files of settings have the new key.

--- a/internal/config/compare.go
+++ b/internal/config/compare.go
@@ -59,6 +59,7 @@
 		{"shares", old.FrontQuotas == updated.FrontQuotas, true},
 		{"max_message", old.MaxMessage == updated.MaxMessage, false},
 		{"max_pending", old.MaxPending == updated.MaxPending, false},
+		{"max_input_memory", old.MaxInputBytes == updated.MaxInputBytes, false},
 		{"roster", sameDiscovery(old, updated), false},
 		{"state", old.StateDir == updated.StateDir &&
 			old.SnapshotInterval == updated.SnapshotInterval, false},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -32,6 +32,7 @@
 	HoldBack       int   // bytes of an answer that are held back before the first is sent
 	HoldBackTotal  int64 // bytes held back over all answers
 	MaxMessage     int   // largest body of a message, in bytes
+	MaxInputBytes  int64 // of input that the sessions of all PostgreSQL clients hold
 	MaxPending     int   // bytes that a client may send ahead while a query runs
 	ClientBuffer   int   // unsent bytes of one client above which its engine is no longer read
 
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -10,6 +10,7 @@
 	HoldBackTotal  int    `hcl:"hold_back_total,optional"`
 	MaxMessage     int    `hcl:"max_message,optional"`
 	MaxPending     int    `hcl:"max_pending,optional"`
+	MaxInputBytes  int    `hcl:"max_input_memory,optional"`
 	ClientBuffer   int    `hcl:"client_buffer,optional"`
 
 	Seed          int    `hcl:"seed,optional"`
--- a/internal/config/golden_test.go
+++ b/internal/config/golden_test.go
@@ -68,6 +68,7 @@
 	d.line("drain_for", c.DrainTimeout)
 	d.line("max_held", c.MaxOpenQueries)
 	d.line("max_answer_memory", c.MaxBufferedBytes)
+	d.line("max_input_memory", c.MaxInputBytes)
 	d.line("max_per_user", c.MaxConnectionsPerUser)
 	d.line("lag_limit", c.LagLimit)
 	d.line("default_class", c.DefaultClass)
--- a/internal/config/process.go
+++ b/internal/config/process.go
@@ -21,6 +21,7 @@
 	defaultHoldBackTotal    = 64 * megabyte
 	defaultMaxMessage       = 16 * megabyte
 	defaultMaxPending       = megabyte
+	defaultMaxInputBytes    = 256 * megabyte
 	defaultClientBuffer     = 256 * kilobyte
 	defaultSnapshotInterval = 10 * time.Second
 	defaultDrainTimeout     = 30 * time.Second
@@ -37,6 +38,7 @@
 	cfg.HoldBackTotal = int64(v.nonNegative("hold_back_total", f.HoldBackTotal, defaultHoldBackTotal))
 	cfg.MaxMessage = v.nonNegative("max_message", f.MaxMessage, defaultMaxMessage)
 	cfg.MaxPending = v.nonNegative("max_pending", f.MaxPending, defaultMaxPending)
+	cfg.MaxInputBytes = int64(v.nonNegative("max_input_memory", f.MaxInputBytes, defaultMaxInputBytes))
 	cfg.ClientBuffer = v.nonNegative("client_buffer", f.ClientBuffer, defaultClientBuffer)
 	v.loopback(fileScope, "listen", cfg.Listen)
 	if f.HealthAddr != "" {
--- a/internal/config/testdata/all-keys.hcl
+++ b/internal/config/testdata/all-keys.hcl
@@ -6,6 +6,7 @@
 hold_back_total = 103
 max_message     = 104
 max_pending     = 105
+max_input_memory = 124
 client_buffer   = 106
 
 seed     = 107
--- a/internal/frontend/pgfrontend/client.go
+++ b/internal/frontend/pgfrontend/client.go
@@ -49,6 +49,27 @@
 	closeWhenIdle  bool // the server is draining
 	startupTimer   *time.Timer
 	drainTimer     *time.Timer // terminates a client that had just connected when a drain began
+	reservedInput  int64       // of the bytes that the session holds, in Config.InputBudget
+}
+
+// reserveInput reserves what the session holds of the client's input now, or returns what it does not hold
+// any more. If there is no room, it ends the session. The caller holds c.mu.
+func (c *client) reserveInput() {
+	budget := c.server.cfg.Load().InputBudget
+	if budget == nil {
+		return
+	}
+	held := max(int64(c.session.HeldBytes())-freeInputBytes, 0)
+	if c.closed {
+		held = 0
+	}
+	if more := held - c.reservedInput; more > 0 && !budget.TryReserve(more) {
+		c.session.Terminate(sqlstate.OutOfMemory, "no memory is left for what this client sends")
+		return
+	} else if more < 0 {
+		budget.Release(-more)
+	}
+	c.reservedInput = held
 }
 
 // onStartupTimeout terminates the connection if the client has not completed its startup.
@@ -200,6 +221,7 @@
 func (c *client) onClose() {
 	c.mu.Lock()
 	c.closed = true
+	c.reserveInput()
 	q := c.current
 	if c.startupTimer != nil {
 		c.startupTimer.Stop()
--- a/internal/frontend/pgfrontend/pgsession/extended.go
+++ b/internal/frontend/pgfrontend/pgsession/extended.go
@@ -40,20 +40,18 @@
 	}
 	st := &statement{text: string(p.Text), parameterTypes: string(p.Types)}
 	st.parsed = s.scan(st.text)
+	_, exists := s.statements.get(name)
 	switch {
 	case len(st.parsed) > 1:
 		s.failStatement(sqlstate.SyntaxError, "cannot insert multiple commands into a prepared statement")
-	case name != "" && s.statements[name] != nil:
+	case name != "" && exists:
 		s.failStatement(sqlstate.DuplicatePreparedStatement,
 			fmt.Sprintf("prepared statement %q already exists", name))
-	case len(s.statements) >= limit:
+	case len(s.statements.byName) >= limit:
 		s.failStatement(sqlstate.ConfigurationLimitExceeded,
 			fmt.Sprintf("more than %d prepared statements", limit))
 	default:
-		if s.statements == nil {
-			s.statements = map[string]*statement{}
-		}
-		s.statements[name] = st
+		s.statements.put(name, st)
 		s.out = pgwire.Append(s.out, '1', nil) // ParseComplete
 	}
 	return nil
@@ -70,18 +68,16 @@
 	if err != nil {
 		return err
 	}
-	st := s.statements[string(m.Statement)]
+	st, known := s.statements.get(string(m.Statement))
 	name := string(m.Portal)
+	_, exists := s.portals.get(name)
 	switch {
-	case st == nil:
+	case !known:
 		s.failNoStatement(m.Statement)
-	case name != "" && s.portals[name] != nil:
+	case name != "" && exists:
 		s.failStatement(sqlstate.DuplicateCursor, fmt.Sprintf("portal %q already exists", name))
 	default:
-		if s.portals == nil {
-			s.portals = map[string]*portal{}
-		}
-		s.portals[name] = &portal{statement: st, bindBody: bytes.Clone(m.Rest)}
+		s.portals.put(name, &portal{statement: st, bindBody: bytes.Clone(m.Rest)})
 		s.out = pgwire.Append(s.out, '2', nil) // BindComplete
 	}
 	return nil
@@ -103,8 +99,8 @@
 // describePortal handles the Describe of a portal. Unless it is answered here, it waits for the next message:
 // if that executes the portal, both become one query for the engine.
 func (s *Session) describePortal(name []byte) {
-	switch p := s.portals[string(name)]; {
-	case p == nil:
+	switch p, known := s.portals.get(string(name)); {
+	case !known:
 		s.failNoPortal(name)
 	case s.answersLocally(p.statement):
 		s.out = append(s.out, s.localDescription(p.statement)...)
@@ -123,7 +119,7 @@
 		}
 	}
 	s.describePending = false
-	p := s.portals[s.describedPortal]
+	p, _ := s.portals.get(s.describedPortal)
 	s.deferred = pgwire.Message{Type: m.Type, Body: bytes.Clone(m.Body)}
 	s.hasDeferred = true
 	s.submit(&enginequery.Query{Kind: enginequery.DescribePortal, Text: p.statement.text,
@@ -132,9 +128,9 @@
 }
 
 func (s *Session) describeStatement(name []byte) {
-	st := s.statements[string(name)]
+	st, known := s.statements.get(string(name))
 	switch {
-	case st == nil:
+	case !known:
 		s.failNoStatement(name)
 		return
 	case s.answersLocally(st):
@@ -159,11 +155,11 @@
 	if err != nil {
 		return err
 	}
-	p := s.portals[string(name)]
+	p, known := s.portals.get(string(name))
 	withDescribe := s.describePending
 	s.describePending = false
 	switch {
-	case p == nil:
+	case !known:
 		s.failNoPortal(name)
 	case len(p.statement.parsed) == 0:
 		s.out = pgwire.Append(s.out, 'I', nil) // EmptyQueryResponse
@@ -199,9 +195,9 @@
 		return err
 	}
 	if kind == 'S' {
-		delete(s.statements, string(name))
+		s.statements.remove(string(name))
 	} else {
-		delete(s.portals, string(name))
+		s.portals.remove(string(name))
 	}
 	s.out = pgwire.Append(s.out, '3', nil) // CloseComplete
 	return nil
@@ -210,7 +206,7 @@
 func (s *Session) handleSync() {
 	s.skipToSync, s.describePending = false, false
 	if s.Affinity.Status() == enginequery.StatusIdle {
-		clear(s.portals) // the implicit transaction ends here
+		s.portals.clear() // the implicit transaction ends here
 	}
 	s.out = pgwire.AppendReady(s.out, s.Affinity.Status())
 }
--- a/internal/frontend/pgfrontend/pgsession/local.go
+++ b/internal/frontend/pgfrontend/pgsession/local.go
@@ -20,9 +20,10 @@
 // engine connection, statements go to that engine because its settings apply. Exceptions are DEALLOCATE of a
 // prepared statement, which is stored here, and SHOW of the dispatcher's own settings.
 func (s *Session) allLocal(parsed []sqlscan.Statement) bool {
-	if len(parsed) == 1 && parsed[0].Words[0] == "DEALLOCATE" &&
-		s.statements[deallocateName(&parsed[0])] != nil {
-		return true
+	if len(parsed) == 1 && parsed[0].Words[0] == "DEALLOCATE" {
+		if _, known := s.statements.get(deallocateName(&parsed[0])); known {
+			return true
+		}
 	}
 	if s.Affinity.Bound() {
 		return s.allShowDispatcherSettings(parsed)
@@ -105,20 +106,21 @@
 func (s *Session) resetLocal(st *sqlscan.Statement) {
 	s.settings.apply(st)
 	if st.Words[0] == "DISCARD" && st.Words[1] == "ALL" {
-		clear(s.statements)
+		s.statements.clear()
 	}
 }
 
 // deallocate executes a DEALLOCATE of the given name.
 func (s *Session) deallocate(name string) *settingError {
+	_, known := s.statements.get(name)
 	switch {
 	case strings.EqualFold(name, "all"):
-		clear(s.statements)
-	case s.statements[name] == nil:
+		s.statements.clear()
+	case !known:
 		return &settingError{sqlstate.InvalidSQLStatementName,
 			fmt.Sprintf("prepared statement %q does not exist", name)}
 	default:
-		delete(s.statements, name)
+		s.statements.remove(name)
 	}
 	return nil
 }
--- a/internal/frontend/pgfrontend/pgsession/query.go
+++ b/internal/frontend/pgfrontend/pgsession/query.go
@@ -24,6 +24,7 @@
 	case s.allLocal(parsed):
 		s.executeAllLocal(parsed)
 	default:
+		s.queryBytes = len(text)
 		s.submit(&enginequery.Query{Kind: enginequery.Simple, Text: text, Parsed: parsed})
 		return nil
 	}
--- a/internal/frontend/pgfrontend/pgsession/session.go
+++ b/internal/frontend/pgfrontend/pgsession/session.go
@@ -68,8 +68,8 @@
 	pendingQuery  *enginequery.Query // until TakeQuery
 	cancelRequest *CancelRequest
 
-	statements      map[string]*statement
-	portals         map[string]*portal
+	statements      namedObjects[*statement]
+	portals         namedObjects[*portal]
 	skipToSync      bool   // after an error: messages are skipped until Sync
 	describedPortal string // name of the portal whose Describe waits, if describePending
 	describePending bool   // the Describe of a portal waits for the next message
@@ -80,6 +80,7 @@
 	settings          settingTracker
 	startupReports    map[string]string // startup values of reported settings, by name in lower case
 
+	queryBytes int        // of the text of the running query, unless it is a prepared statement's
 	bytesAhead int        // bytes received but not yet handled
 	copyIn     bool       // in copy-in mode
 	copyData   []byte     // copy messages for the engine
@@ -156,6 +157,12 @@
 	return s.phase == phaseBusy && !s.copyIn && 2*s.bytesAhead > s.maxPending()
 }
 
+// HeldBytes returns how many bytes of the client's input the session holds: what is not handled yet, the
+// running query, prepared statements and portals.
+func (s *Session) HeldBytes() int {
+	return s.bytesAhead + s.queryBytes + len(s.copyData) + s.statements.bytes + s.portals.bytes
+}
+
 func (s *Session) maxPending() int {
 	if s.cfg.MaxPending == 0 {
 		return defaultMaxPending
@@ -169,7 +176,7 @@
 	if s.phase != phaseBusy {
 		return
 	}
-	s.phase, s.copyIn = phaseIdle, false
+	s.phase, s.copyIn, s.queryBytes = phaseIdle, false, 0
 	s.out = append(s.out, b...)
 	if kind == enginequery.Simple {
 		s.out = pgwire.AppendReady(s.out, s.Affinity.Status())
@@ -188,7 +195,7 @@
 	s.Affinity.CommandComplete(tag)
 	s.settings.commandComplete(tag)
 	if tag == "DISCARD ALL" || tag == "DEALLOCATE ALL" {
-		clear(s.statements) // "DISCARD": includes statements prepared by the extended protocol
+		s.statements.clear() // "DISCARD": includes statements prepared by the extended protocol
 	}
 }
 
--- a/internal/frontend/pgfrontend/read.go
+++ b/internal/frontend/pgfrontend/read.go
@@ -83,6 +83,7 @@
 		c.rejectIfOverLimit()
 	}
 	c.feedCopyPipe()
+	c.reserveInput()
 	c.failEngineTransaction()
 	pending := c.session.TakeQuery()
 	closing, cancel := c.session.Closing(), c.session.CancelRequest()
--- a/internal/frontend/pgfrontend/server.go
+++ b/internal/frontend/pgfrontend/server.go
@@ -19,6 +19,7 @@
 	"github.com/lesismal/nbio/logging"
 
 	"cresspass/internal/affinity/registry"
+	"cresspass/internal/bytebudget"
 	"cresspass/internal/dispatch/response"
 	"cresspass/internal/dispatch/verdict"
 	"cresspass/internal/frontend"
@@ -31,6 +32,8 @@
 const Name = "postgresql"
 
 const (
+	// freeInputBytes is what a client's session may hold of its input without a reservation.
+	freeInputBytes = 4 << 10
 	// maxRejectedConnections is the number of connections beyond the limit that receive an error; further
 	// ones are closed without a message.
 	maxRejectedConnections = 256
@@ -51,9 +54,10 @@
 	Session        pgsession.Config
 	MaxClients     int // further ones are rejected with SQLSTATE 53300
 	StartupTimeout time.Duration
-	HoldBack       int   // bytes of a response that are buffered before any are sent
-	HoldBackTotal  int64 // limit of the bytes buffered in all responses together
-	ClientBuffer   int   // unsent bytes of one client above which its engine is no longer read
+	HoldBack       int                // bytes of a response that are buffered before any are sent
+	HoldBackTotal  int64              // limit of the bytes buffered in all responses together
+	InputBudget    *bytebudget.Budget // of input that all clients' sessions hold; nil: no limit
+	ClientBuffer   int                // unsent bytes of one client above which its engine is no longer read
 
 	// AcquireConnection reserves capacity for one more connection and returns false if there is none.
 	// ReleaseConnection frees it.
--- a/internal/frontend/pgfrontend/sink.go
+++ b/internal/frontend/pgfrontend/sink.go
@@ -74,6 +74,7 @@
 	case c.closeWhenIdle && !c.session.Busy() && !c.session.Affinity.Bound():
 		c.session.Terminate(sqlstate.AdminShutdown, shutdownMessage)
 	}
+	c.reserveInput()
 	c.flushOutput()
 	c.nextQuery = c.session.TakeQuery()
 	c.resumeReading()
--- a/internal/protocol/sqlstate/sqlstate.go
+++ b/internal/protocol/sqlstate/sqlstate.go
@@ -19,6 +19,7 @@
 	UndefinedObject              = "42704"
 	DuplicateCursor              = "42P03"
 	DuplicatePreparedStatement   = "42P05"
+	OutOfMemory                  = "53200"
 	TooManyConnections           = "53300"
 	ConfigurationLimitExceeded   = "53400"
 	ProgramLimitExceeded         = "54000"
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -20,6 +20,7 @@
 	"cresspass/internal/affinity/orphanedsession"
 	"cresspass/internal/affinity/registry"
 	"cresspass/internal/backend/pgbackend"
+	"cresspass/internal/bytebudget"
 	"cresspass/internal/config"
 	"cresspass/internal/discovery/eds"
 	"cresspass/internal/discovery/starttime"
@@ -224,6 +225,7 @@
 		StartupTimeout: s.cfg.StartupTimeout,
 		HoldBack:       s.cfg.HoldBack,
 		HoldBackTotal:  s.cfg.HoldBackTotal,
+		InputBudget:    bytebudget.New(s.cfg.MaxInputBytes),
 		ClientBuffer:   s.cfg.ClientBuffer,
 		Session: pgsession.Config{
 			ServerVersion:     serverVersion,
