serve: PostgreSQL clients that send without a pause are read in turns

What callers saw: with one processor and eight clients that send small messages at full speed, other clients' queries took seconds or were not answered.

Change: internal/frontend/readturns, taken out of the node's readTurns. A client is read for 64 kB, then waits for its turn; a pause of three times a turn follows it. Data of a COPY is exempt, its engine limits it.

--- a/internal/frontend/pgfrontend/client.go
+++ b/internal/frontend/pgfrontend/client.go
@@ -35,8 +35,10 @@
 	awaitsCapacity atomic.Bool   // awaitCapacity is waiting
 	capacity       chan struct{} // capacity 1; signals that there may be room again
 
-	readLock sync.Mutex                  // held by the goroutine that reads from the client; locked before mu
-	copyPipe atomic.Pointer[copyin.Pipe] // for the data of the running COPY; nil: none
+	// readLock is held by the goroutine that reads from the client. It is locked before mu.
+	readLock   sync.Mutex
+	awaitsTurn bool                        // the client is read when its turn is granted; guarded by readLock
+	copyPipe   atomic.Pointer[copyin.Pipe] // for the data of the running COPY; nil: none
 
 	mu             sync.Mutex
 	session        *pgsession.Session
--- a/internal/frontend/pgfrontend/read.go
+++ b/internal/frontend/pgfrontend/read.go
@@ -11,43 +11,74 @@
 
 const (
 	readBufferSize = 32 << 10 // bytes
-	// maxReadsPerTurn is the number of reads from one client before another goroutine continues, so that the
+	// bytesPerTurn is the number of bytes that are read from one client before it waits for its next turn.
+	bytesPerTurn = 2 * readBufferSize
+	// maxCopyReads is the number of reads of a copy's data before another goroutine continues, so that the
 	// polling goroutine can serve other clients.
-	maxReadsPerTurn = 16
+	maxCopyReads = 16
 )
 
-// readBuffers holds the read buffers. A buffer is in use only during one call of readAvailable.
+// readBuffers holds the read buffers. A buffer is in use only during one call of read.
 var readBuffers = sync.Pool{New: func() any { b := make([]byte, readBufferSize); return &b }}
 
-// readAvailable reads and handles what the client has sent. The poller is edge-triggered and reports new
-// bytes only, so readAvailable reads until there are none, or until it pauses because a copy's pipe is full
-// or the client has sent too much ahead. It is called again once there is capacity.
+// readAvailable reads and handles what the client has sent, unless the client waits for its turn.
 func (c *client) readAvailable() {
 	c.readLock.Lock()
 	defer c.readLock.Unlock()
+	if !c.awaitsTurn && c.read() {
+		c.awaitsTurn = true
+		c.server.turns.Request(func() { go c.readTurn() })
+	}
+}
+
+// readTurn is readAvailable for a turn that was granted.
+func (c *client) readTurn() {
+	c.readLock.Lock()
+	defer c.readLock.Unlock()
+	c.awaitsTurn = c.read()
+	c.server.turns.End()
+	if c.awaitsTurn {
+		c.server.turns.Request(func() { go c.readTurn() })
+	}
+}
+
+// read reads and handles what the client has sent. The poller is edge-triggered and reports new bytes only,
+// so read continues until there are none, or until it pauses because a copy's pipe is full or the client has
+// sent too much ahead; it is then called again once there is capacity. It returns true if there may be more
+// bytes after those of a turn. The data of a copy takes no turns: its engine limits it. The caller holds
+// c.readLock.
+func (c *client) read() (turnOver bool) {
 	buf := readBuffers.Get().(*[]byte)
 	defer readBuffers.Put(buf)
-	for reads := 0; ; reads++ {
-		if p := c.copyPipe.Load(); p != nil && p.Full() || c.pauseIfBacklogged() {
-			return
-		}
-		if reads == maxReadsPerTurn {
+	for bytes, copyReads := 0, 0; ; {
+		p := c.copyPipe.Load()
+		switch {
+		case p != nil && p.Full() || c.pauseIfBacklogged():
+			return false
+		case bytes >= bytesPerTurn:
+			return true
+		case copyReads >= maxCopyReads:
 			go c.readAvailable()
-			return
+			return false
 		}
 		n, err := c.netConn.Read(*buf)
 		switch {
 		case err == nil && n > 0:
 			c.onData((*buf)[:n])
 			if n < len(*buf) {
-				return // bytes that arrive later cause a new event
+				return false // bytes that arrive later cause a new event
+			}
+			if p != nil {
+				copyReads++
+			} else {
+				bytes += n
 			}
 		case errors.Is(err, syscall.EINTR):
 		case errors.Is(err, syscall.EAGAIN):
-			return
+			return false
 		default:
 			c.closeConn()
-			return
+			return false
 		}
 	}
 }
--- a/internal/frontend/pgfrontend/server.go
+++ b/internal/frontend/pgfrontend/server.go
@@ -24,6 +24,7 @@
 	"cresspass/internal/dispatch/verdict"
 	"cresspass/internal/frontend"
 	"cresspass/internal/frontend/pgfrontend/pgsession"
+	"cresspass/internal/frontend/readturns"
 	"cresspass/internal/netlisten"
 	"cresspass/internal/protocol/sqlstate"
 )
@@ -79,6 +80,7 @@
 	log        *slog.Logger
 	budget     response.BufferBudget
 	poller     *nbio.Engine
+	turns      *readturns.Queue // of clients that send without a pause
 
 	mu          sync.Mutex
 	clients     map[uint32]*client // by PID
@@ -98,6 +100,7 @@
 		budget: response.BufferBudget{MaxBytes: cfg.HoldBackTotal},
 		// Edge-triggered, so that pausing reads from a client costs nothing.
 		poller: nbio.NewEngine(nbio.Config{Name: Name, EpollMod: nbio.EPOLLET})}
+	s.turns = readturns.NewQueue(nil)
 	s.cfg.Store(&cfg)
 	s.poller.OnOpen(s.onOpen)
 	s.poller.OnRead(func(nc *nbio.Conn) { s.clientOf(nc).readAvailable() })
--- a/internal/platform/accept.go
+++ b/internal/platform/accept.go
@@ -27,7 +27,7 @@
 	var queue acceptQueue
 	emptyPolls, acceptErrors := 0, 0 // consecutive
 	// Connections that come without a pause are accepted in turns, apart from those of the readers.
-	turn := turn{turns: &readTurns{loop: f.service.loop}}
+	turn := turn{turns: newReadTurns(f.service.loop)}
 	defer turn.end()
 	for {
 		begun := time.Now()
--- a/internal/platform/frontend.go
+++ b/internal/platform/frontend.go
@@ -49,7 +49,7 @@
 func newFrontend(s *service, listener *net.TCPListener, descriptors *descriptorBudget) *frontend {
 	return &frontend{service: s, listener: listener, descriptors: descriptors, idleTimeout: clientIdleTimeout,
 		writeTimeout: clientWriteTimeout, registry: thriftserver.New(&s.cfg.Module),
-		turns: &readTurns{loop: s.loop},
+		turns: newReadTurns(s.loop),
 		done:  make(chan struct{}), overflow: make(chan struct{}, maxOverflowConns),
 		conns:          map[thriftserver.ConnID]*clientConn{},
 		closedByReason: map[closeReason]uint64{}}
--- a/internal/platform/readturns.go
+++ b/internal/platform/readturns.go
@@ -1,10 +1,10 @@
 package platform
 
 import (
-	"sync"
 	"time"
 
 	"cresspass/internal/dispatch"
+	"cresspass/internal/frontend/readturns"
 	"cresspass/internal/frontend/thriftserver"
 )
 
@@ -20,65 +20,30 @@
 	bytesPerFirstTurn    = 16 << 10
 )
 
-const (
-	// turnPauseFactor is how many times as long as a turn the pause after it is. It leaves most of the
-	// processor's time to other clients.
-	turnPauseFactor = 3
-	// maxTurnPause limits the pause after a turn during which the process was not scheduled.
-	maxTurnPause = 100 * time.Millisecond
-)
-
-// readTurns shares the reading of clients that send without a pause. Such a connection reads messages for one
-// turn, and then waits for the next one: one connection at a time has a turn, in the order in which they
-// began to wait, and each turn begins after a step of the core's loop. Without it the goroutines of a few
-// such clients, and the events that they post, would delay the loop and all other clients.
+// readTurns grants turns to connections, each after a step of the core's loop, so that the events of one turn
+// at most wait for a step.
 type readTurns struct {
-	loop *dispatch.Loop
+	loop  *dispatch.Loop
+	queue *readturns.Queue
+}
 
-	mu        sync.Mutex // guards the fields below
-	waiting   []chan struct{}
-	granted   time.Time // when the current turn began
-	scheduled bool      // a turn was granted and is not over, or the next one will be granted
+func newReadTurns(loop *dispatch.Loop) *readTurns {
+	return &readTurns{loop: loop, queue: readturns.NewQueue(func(pause time.Duration, grant func()) {
+		time.AfterFunc(pause, func() { loop.AfterStep(grant) })
+	})}
 }
 
-// await waits for a turn. It does not wait if the loop has ended. The caller must call end when the turn is
-// over.
+// await waits for a turn. It does not wait if the loop has ended. The caller must call queue.End when the
+// turn is over.
 func (t *readTurns) await() {
-	grant := make(chan struct{})
-	t.mu.Lock()
-	t.waiting = append(t.waiting, grant)
-	idle := !t.scheduled
-	t.scheduled = true
-	t.mu.Unlock()
-	if idle {
-		t.loop.AfterStep(t.grant)
-	}
+	granted := make(chan struct{})
+	t.queue.Request(func() { close(granted) })
 	select {
-	case <-grant:
+	case <-granted:
 	case <-t.loop.Done():
 	}
 }
 
-// grant grants a turn to the connection that has waited longest. It is called in the loop's goroutine.
-func (t *readTurns) grant() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.scheduled = len(t.waiting) > 0; !t.scheduled {
-		return
-	}
-	t.granted = time.Now()
-	close(t.waiting[0])
-	t.waiting = append([]chan struct{}(nil), t.waiting[1:]...)
-}
-
-// end ends the current turn. The next one is granted after a pause.
-func (t *readTurns) end() {
-	t.mu.Lock()
-	pause := min(turnPauseFactor*time.Since(t.granted), maxTurnPause)
-	t.mu.Unlock()
-	time.AfterFunc(pause, func() { t.loop.AfterStep(t.grant) })
-}
-
 // turn is a connection's share of the reading. It belongs to the goroutine that reads the connection, which
 // must end it when the connection ends: until then no other connection is granted one.
 type turn struct {
@@ -119,7 +84,7 @@
 // end ends the turn: the socket is empty, or the connection ends.
 func (t *turn) end() {
 	if t.granted {
-		t.turns.end()
+		t.turns.queue.End()
 	}
 	*t = turn{turns: t.turns}
 }
--- a/internal/platform/readturns_test.go
+++ b/internal/platform/readturns_test.go
@@ -32,11 +32,7 @@
 			t.Fatalf("call %d: %+v, want an answer", n, got)
 		}
 	}
-	eventually(t, "no connection has a turn or waits for one", func() bool {
-		h.frontend.turns.mu.Lock()
-		defer h.frontend.turns.mu.Unlock()
-		return !h.frontend.turns.scheduled
-	})
+	eventually(t, "no connection has a turn or waits for one", h.frontend.turns.queue.Idle)
 }
 
 // TestTurnsDeductWaits checks that the time for which a request waits for its connection's turn is deducted
