Node: a long message waits for its connection's turn before it is decoded

Cause: a first turn, which is not granted, ended only after a whole message. Hundreds of clients that each sent one of 120 kB with 30,000 fields at once had all of them decoded before anything else.

--- a/internal/platform/clientconn.go
+++ b/internal/platform/clientconn.go
@@ -170,6 +170,7 @@
 	length, handled := c.message.length(), false // a request that is accepted takes the message over
 	switch {
 	case err == nil:
+		c.turn.beginMessage(length)
 		handled = c.handleMessage(registry.Decode(frame))
 	case errors.Is(err, errNoMemory):
 		handled = c.handleMessage(registry.DecodeHeader(frame))
--- a/internal/platform/readturns.go
+++ b/internal/platform/readturns.go
@@ -66,11 +66,24 @@
 	if !t.over() {
 		return false
 	}
+	t.wait()
+	return true
+}
+
+// beginMessage waits for a turn if a message that was read is too long for the first one: hundreds of clients
+// that each send one long message would delay all others.
+func (t *turn) beginMessage(bytes int) {
+	if !t.granted && t.bytes+bytes > bytesPerFirstTurn {
+		t.wait()
+	}
+}
+
+// wait waits for the next turn.
+func (t *turn) wait() {
 	waitedBefore, begun := t.waited, time.Now()
 	t.end()
 	t.turns.await()
 	t.granted, t.waited = true, waitedBefore+time.Since(begun)
-	return true
 }
 
 // over reports whether the turn has reached one of its limits.
