--- a/internal/bytebudget/budget.go
+++ b/internal/bytebudget/budget.go
@@ -32,6 +32,14 @@
 	return true
 }
 
+// Reserve reserves bytes even if there is no room for them, for what has to be kept. Release must return
+// them.
+func (b *Budget) Reserve(bytes int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used += bytes
+}
+
 // Release returns reserved bytes.
 func (b *Budget) Release(bytes int64) {
 	b.mu.Lock()
--- a/internal/bytebudget/budget_test.go
+++ b/internal/bytebudget/budget_test.go
@@ -14,9 +14,13 @@
 	if !budget.TryReserve(0) {
 		t.Error("a reservation of no bytes must succeed in a full budget")
 	}
+	if budget.Reserve(5); budget.TryReserve(0) {
+		t.Error("over its limit, a budget has no room")
+	}
+	budget.Release(5)
 	budget.Release(60)
-	if used, refused := budget.Stats(); used != 40 || refused != 2 {
-		t.Errorf("%d bytes used, %d reservations refused; want 40 and 2", used, refused)
+	if used, refused := budget.Stats(); used != 40 || refused != 3 {
+		t.Errorf("%d bytes used, %d reservations refused; want 40 and 3", used, refused)
 	}
 }
 
--- a/internal/platform/attempt.go
+++ b/internal/platform/attempt.go
@@ -165,18 +165,19 @@
 	if step.Outcome == cresspass.OutcomeOK {
 		done.QueryFinished = a.service.frontend.respondResult(a.request.ID, step.Pages)
 	}
-	a.service.memory.answers.Release(a.resultBytes)
+	a.service.memory.results.Release(a.resultBytes)
 	a.cancel()
 	a.service.attemptEnded(a, done.Outcome)
 	a.service.loop.Post(done)
 }
 
-// reserveResult reserves memory for a part of the result. If there is none, the attempt fails.
+// reserveResult reserves memory for a part of the result. If there is none, the attempt is stopped, with an
+// outcome that is no evidence against the compute node.
 func (a *attempt) reserveResult(response *nodehttp.Response) {
 	bytes := int64(len(response.Body))
-	if !a.service.memory.answers.TryReserve(bytes) {
+	if !a.service.memory.results.TryReserve(bytes) {
 		a.service.events.Add(a.event(eventlog.AttemptStopped, "no memory for the result"))
-		a.stop(cresspass.OutcomeFailed)
+		a.stop(cresspass.OutcomeTimedOut)
 		return
 	}
 	a.resultBytes += bytes
--- a/internal/platform/clientwrite.go
+++ b/internal/platform/clientwrite.go
@@ -15,9 +15,9 @@
 // send writes b, which holds the given number of messages, without waiting for the client. It writes what the
 // socket accepts at once: on busy cores the goroutine of flush would have to wait to be scheduled, and
 // answers would be late. The rest is pending. If more than maxPendingBytes are pending for the client, send
-// closes the connection; if there is no memory for more answers, it closes those with the most first.
+// closes the connection; if there is no memory for more output, it closes those with the most first.
 func (c *clientConn) send(b []byte, messages int) {
-	answers, reserved := c.frontend.service.memory.answers, int64(len(b))
+	budget, reserved := c.frontend.service.memory.output, int64(len(b))
 	if !c.frontend.reserveOutput(c, reserved) {
 		c.dropOutput()
 		return
@@ -25,7 +25,7 @@
 	c.mu.Lock()
 	if c.dropped || len(c.pending)+len(b) > maxPendingBytes {
 		c.mu.Unlock()
-		answers.Release(reserved)
+		budget.Release(reserved)
 		c.dropOutput()
 		return
 	}
@@ -34,7 +34,7 @@
 		b = c.writeNow(b)
 	}
 	c.pending = append(c.pending, b...)
-	answers.Release(reserved - int64(len(b)))
+	budget.Release(reserved - int64(len(b)))
 	written := 0
 	switch {
 	case c.flushing:
@@ -49,14 +49,19 @@
 }
 
 // reserveOutput reserves memory for output to a client. While there is none, it closes the connection for
-// which most output is pending. It returns false if that is the client's own connection, or there is none.
+// which most output is pending. It returns false if that is the client's own connection.
 func (f *frontend) reserveOutput(client *clientConn, bytes int64) bool {
-	for !f.service.memory.answers.TryReserve(bytes) {
-		largest := f.mostPending()
-		if largest == nil || largest == client {
+	budget := f.service.memory.output
+	for !budget.TryReserve(bytes) {
+		switch largest := f.mostPending(); largest {
+		case nil: // all that is reserved is being written, as this output is going to be
+			budget.Reserve(bytes)
+			return true
+		case client:
 			return false
+		default:
+			largest.dropOutput()
 		}
-		largest.dropOutput()
 	}
 	return true
 }
@@ -81,7 +86,7 @@
 	dropped := len(c.pending)
 	c.pending, c.dropped, c.closing = nil, true, true
 	c.mu.Unlock()
-	c.frontend.service.memory.answers.Release(int64(dropped))
+	c.frontend.service.memory.output.Release(int64(dropped))
 	c.conn.Close()
 }
 
@@ -119,7 +124,7 @@
 		c.mu.Unlock()
 		c.conn.SetWriteDeadline(time.Now().Add(c.writeTimeout))
 		_, err := c.conn.Write(chunk)
-		c.frontend.service.memory.answers.Release(int64(len(chunk)))
+		c.frontend.service.memory.output.Release(int64(len(chunk)))
 		if err != nil {
 			c.endAfterWriteError(err)
 		}
--- a/internal/platform/harness_test.go
+++ b/internal/platform/harness_test.go
@@ -278,7 +278,7 @@
 // heldBytes returns how many bytes the dispatcher holds for clients.
 func (h *harness) heldBytes() (held int64) {
 	for _, budget := range []*bytebudget.Budget{h.memory.longMessages, h.memory.shortMessages,
-		h.memory.answers} {
+		h.memory.results, h.memory.output} {
 		used, _ := budget.Stats()
 		held += used
 	}
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -17,11 +17,12 @@
 )
 
 // The shares of the kinds of use in what is held. Each kind has its own, so that short requests are read and
-// answered while long ones, or answers that are not read, use up theirs.
+// answered while long ones, results, or output that is not read, use up theirs.
 const (
-	longMessageShare  = 0.3
-	shortMessageShare = 0.4
-	answerShare       = 0.3
+	longMessageShare  = 0.25
+	shortMessageShare = 0.35
+	resultShare       = 0.2
+	outputShare       = 0.2
 )
 
 const (
@@ -37,7 +38,8 @@
 type memoryBudget struct {
 	longMessages  *bytebudget.Budget // messages that are being read, and open requests
 	shortMessages *bytebudget.Budget // the same of short messages
-	answers       *bytebudget.Budget // results that are being fetched, and output that clients have not read
+	results       *bytebudget.Budget // results that are being fetched
+	output        *bytebudget.Budget // output that clients have not read
 }
 
 // newMemoryBudget returns the budget of a process with a memory limit in MB; 0 means that there is none.
@@ -48,7 +50,8 @@
 	held := max((memoryMB*softMemoryFraction*bytesPerMB-restBytes)*heldFraction, minHeldBytes)
 	return &memoryBudget{longMessages: bytebudget.New(int64(held * longMessageShare)),
 		shortMessages: bytebudget.New(int64(held * shortMessageShare)),
-		answers:       bytebudget.New(int64(held * answerShare))}
+		results:       bytebudget.New(int64(held * resultShare)),
+		output:        bytebudget.New(int64(held * outputShare))}
 }
 
 // ofMessage returns the budget of messages of a length.
@@ -62,7 +65,8 @@
 // stats returns the bytes in use and the number of refusals of each kind, for the log.
 func (m *memoryBudget) stats() slog.Attr {
 	return slog.Group("memory", budgetStats("long_messages", m.longMessages),
-		budgetStats("short_messages", m.shortMessages), budgetStats("answers", m.answers))
+		budgetStats("short_messages", m.shortMessages), budgetStats("results", m.results),
+		budgetStats("output", m.output))
 }
 
 func budgetStats(name string, budget *bytebudget.Budget) slog.Attr {
--- a/internal/platform/stats_test.go
+++ b/internal/platform/stats_test.go
@@ -67,7 +67,7 @@
 		"clients": {"closed", "connections", "evicted", "malformed_messages"},
 		"nodes": {"broken_calls", "connections", "dials", "longest_wait", "malformed_responses", "queued",
 			"reused", "suspected_duplicates", "waiting"},
-		"memory":   {"answers", "long_messages", "short_messages"},
+		"memory":   {"long_messages", "output", "results", "short_messages"},
 		"outcomes": {"ok"},
 		"queries": {"attempts", "client_gone", "failed", "not_started", "open", "overdue", "received",
 			"rejected", "retries", "running", "served", "stopped", "timers"},
